--- /dev/null
+++ b/asterwharf/base/board.py
@@ -0,0 +1,120 @@
+"""The blackboard of a process, and the node that lets its controllers read and write it.
+
+Nothing here touches a socket, a disk, a clock or a random source: the daemon and the
+simulator feed in messages and times and carry out the effects left in `out`.
+"""
+
+from collections import Counter
+
+
+class Board:
+    """What the controllers of one process share."""
+
+    __slots__ = ('config', 'count', 'emptied', 'holders', 'inc', 'leaving', 'links', 'me', 'nodes', 'now', 'out',
+                 'rng', 'role', 'said', 'set', 'stale', 'wall', 'zone')
+
+    def __init__(self, st, role, inc, rng, now=0, wall=0):
+        self.set, self.me, self.role, self.zone, self.inc, self.rng = st, st.name, role, st.zone, inc, rng
+        self.now, self.wall, self.out, self.said = now, wall, [], []
+        # nodes: name -> row of the roll; links: peers connected now -> their hello
+        self.nodes, self.links, self.holders = {}, {}, {}
+        self.config, self.emptied, self.leaving, self.stale = None, frozenset(), False, False
+        self.count = Counter()
+
+    def send(self, dst, knd, **doc):
+        self.out.append(('send', dst, knd, doc))
+        self.count[f'sent.{knd}'] += 1
+
+    def do(self, *eff):
+        self.out.append(eff)
+
+    def log(self, lvl, evt, **kws):
+        self.said.append((lvl, evt, kws))
+
+    def hello(self):
+        s = self.set
+        return {'name': self.me, 'role': self.role, 'addr': s.bind, 'zone': self.zone, 'http': s.http,
+                'inc': self.inc, 'proto': 1, 'token': s.token}
+
+    def row(self):
+        h = self.hello()
+        return {k: h[k] for k in ('name', 'role', 'addr', 'zone', 'http', 'inc')}
+
+    def of(self, role):
+        return [n for n, r in self.nodes.items() if r['role'] == role]
+
+
+class Controller:
+    """One concern of a process; `hears` names the kinds of message it wants."""
+
+    __slots__ = ('b',)
+    hears = ()
+
+    def __init__(self, b):
+        self.b = b
+
+    def tick(self):
+        """Time has passed: `b.now`, `b.wall`."""
+
+    def up(self, peer):
+        """A peer is connected; its hello is in `b.links`."""
+
+    def lost(self, peer):
+        """A peer is not connected any more."""
+
+    def flush(self):
+        """The turn ends: what was gathered goes out."""
+
+
+class Node:
+    """One process without its world."""
+
+    __slots__ = ('b', 'by', 'ctl', 'last')
+
+    def __init__(self, b, ctl):
+        self.b, self.ctl, self.by, self.last = b, ctl, {}, b.now
+        for c in ctl:
+            for k in c.hears:
+                self.by.setdefault(k, []).append(c)
+
+    def _at(self, now, wall):
+        b = self.b
+        b.now, b.wall = now, wall
+        # after a freeze, time is looked at before any message that waited in a buffer
+        if now - self.last > 200:
+            self.tick(now, wall)
+
+    def hear(self, src, knd, doc, now, wall):
+        self._at(now, wall)
+        for c in self.by.get(knd, ()):
+            getattr(c, 'on_' + knd)(src, doc)
+
+    def tick(self, now, wall):
+        b = self.b
+        b.now, b.wall, self.last = now, wall, now
+        for c in self.ctl:
+            c.tick()
+
+    def up(self, peer, hello, now, wall):
+        self._at(now, wall)
+        self.b.links[peer] = hello
+        for c in self.ctl:
+            c.up(peer)
+
+    def lost(self, peer, now, wall):
+        self._at(now, wall)
+        if self.b.links.pop(peer, None) is None:
+            return
+        for c in self.ctl:
+            c.lost(peer)
+
+    def flush(self):
+        """Ends a turn; returns the effects and the log lines it left."""
+        for c in self.ctl:
+            c.flush()
+        out, self.b.out = self.b.out, []
+        said, self.b.said = self.b.said, []
+        return out, said
+
+    def find(self, cls):
+        return next((c for c in self.ctl if isinstance(c, cls)), None)
--- /dev/null
+++ b/asterwharf/base/checks.py
@@ -0,0 +1,87 @@
+"""Strict reading of documents: every mistake is listed with its path."""
+
+import dataclasses
+import types
+import typing
+
+import dacite
+from expression import Error, Ok
+
+_CFG = dacite.Config(strict=True)
+
+
+def _args(typ):
+    return typing.get_origin(typ), typing.get_args(typ)
+
+
+def _leaf(typ, val):
+    """Lets dacite judge a plain value; None when it is well typed."""
+    if isinstance(val, bool) and typ in (int, float):
+        return f'wanted {typ.__name__}, got bool'
+    if typ is float and isinstance(val, int):
+        return None
+    one = dataclasses.make_dataclass('One', [('v', typ)])
+    try:
+        dacite.from_dict(one, {'v': val}, _CFG)
+    except dacite.DaciteError:
+        nam = getattr(typ, '__name__', str(typ))
+        return f'wanted {nam}, got {type(val).__name__}'
+    return None
+
+
+def _walk(typ, val, pth, bad):
+    org, arg = _args(typ)
+    if org in (typing.Union, types.UnionType):
+        if val is None and type(None) in arg:
+            return
+        sub = [a for a in arg if a is not type(None)]
+        # unions here are only "T or nothing": the first is T
+        return _walk(sub[0], val, pth, bad)
+    if dataclasses.is_dataclass(typ):
+        return _plot(typ, val, pth, bad)
+    if org is list:
+        if not isinstance(val, list):
+            return bad.append(f'{pth}: wanted a list, got {type(val).__name__}')
+        for i, v in enumerate(val):
+            _walk(arg[0], v, f'{pth}[{i}]', bad)
+        return
+    if org is dict:
+        if not isinstance(val, dict):
+            return bad.append(f'{pth}: wanted an object, got {type(val).__name__}')
+        for k, v in val.items():
+            _walk(arg[1], v, f'{pth}.{k}', bad)
+        return
+    if typ is typing.Any:
+        return
+    msg = _leaf(typ, val)
+    if msg:
+        bad.append(f'{pth}: {msg}')
+
+
+def _plot(cls, doc, pth, bad):
+    if not isinstance(doc, dict):
+        return bad.append(f'{pth or "."}: wanted an object, got {type(doc).__name__}')
+    hnt = typing.get_type_hints(cls)
+    fds = {f.name: f for f in dataclasses.fields(cls)}
+    dot = f'{pth}.' if pth else ''
+    for k in doc:
+        if k not in fds:
+            bad.append(f'{dot}{k}: unknown; known are {", ".join(sorted(fds))}')
+    for k, f in fds.items():
+        if k in doc:
+            _walk(hnt[k], doc[k], f'{dot}{k}', bad)
+            continue
+        if f.default is dataclasses.MISSING and f.default_factory is dataclasses.MISSING:
+            bad.append(f'{dot}{k}: missing')
+
+
+def read(cls, doc, pth=''):
+    """Result of the typed document, or of the list of all mistakes."""
+    bad = []
+    _plot(cls, doc, pth, bad)
+    if bad:
+        return Error(bad)
+    try:
+        return Ok(dacite.from_dict(cls, doc, dacite.Config(strict=True, cast=[float])))
+    except dacite.DaciteError as e:
+        return Error([str(e)])
--- /dev/null
+++ b/asterwharf/base/settings.py
@@ -0,0 +1,147 @@
+"""Settings of one process: a TOML file, then flags; strict, every mistake listed.
+
+Times are bounds in milliseconds; the constants of the code are ratios to them.
+"""
+
+import ipaddress
+import tomllib
+from dataclasses import dataclass, field, fields, replace
+
+from expression import Error, Ok
+
+from asterwharf.base.checks import read
+
+
+@dataclass(frozen=True)
+class Link:
+    """The minion link; the defaults are the source design's figures."""
+
+    auth_ms: int = 5000
+    register_ms: int = 10000
+    beat_ms: int = 30000
+    unhealthy_ms: int = 90000
+    close_ms: int = 180000
+    grace_ms: int = 120000
+    tenure_ratio: float = 0.6
+    stop_ratio: float = 0.1
+    drift_ratio: float = 0.05
+    base_ms: int = 1000
+    multiplier: float = 1.5
+    jitter: float = 0.5
+    max_ms: int = 60000
+    events: int = 5000
+    logs: int = 10000
+    fresh_ms: int = 1000
+
+
+@dataclass(frozen=True)
+class View:
+    """The replicated groups; everything else is a ratio to `silence_ms`."""
+
+    silence_ms: int = 1000
+    beat_ratio: float = 0.12
+    spread_ratio: float = 0.5
+    slow_sync_ratio: float = 0.5
+    keep_log: int = 2000
+    chunk: int = 262144
+
+
+@dataclass(frozen=True)
+class Settings:
+    name: str
+    bind: str
+    seeds: list[str]
+    zone: str = 'z1'
+    http: str = ''
+    data: str = ''
+    minion: str = ''
+    core_size: int = 3
+    token: str = ''
+    log_level: str = 'info'
+    max_body: int = 8388608
+    errand_ms: int = 5000
+    poll_ms: int = 10000
+    buffer: int = 2000
+    leave_ms: int = 4000
+    kept_jobs: int = 20000
+    kept_ms: int = 86400000
+    labels: dict[str, str] = field(default_factory=dict)
+    link: Link = field(default_factory=Link)
+    view: View = field(default_factory=View)
+
+
+def address(txt):
+    """(host, port) of 'a.b.c.d:port', or None when it is no such thing."""
+    hst, sep, prt = txt.rpartition(':')
+    if not sep or not prt.isdigit() or not 0 < int(prt) < 65536:
+        return None
+    try:
+        ipaddress.ip_address(hst)
+    except ValueError:
+        return None
+    return hst, int(prt)
+
+
+def _judge(s):
+    bad = []
+    for k in ('bind', 'http'):
+        v = getattr(s, k)
+        # agents and core nodes need no HTTP door
+        if (v or k == 'bind') and address(v) is None:
+            bad.append(f'{k}: {v!r} is not IP:port')
+    if not s.name or not all(c.isalnum() or c in '-_.' for c in s.name):
+        bad.append(f'name: {s.name!r} may hold letters, digits, "-", "_" and "." only')
+    if not 1 <= len(s.seeds) <= 16:
+        bad.append('seeds: between one and sixteen addresses are wanted')
+    bad += [f'seeds[{i}]: {v!r} is not IP:port' for i, v in enumerate(s.seeds) if address(v) is None]
+    for o, p in ((s, ''), (s.link, 'link.'), (s.view, 'view.')):
+        for f in fields(o):
+            v = getattr(o, f.name)
+            if isinstance(v, (int, float)) and v <= 0:
+                bad.append(f'{p}{f.name}: must be above zero')
+    l = s.link
+    # the fence: an agent must have stopped its work before anyone may start it anew
+    if l.tenure_ratio + l.stop_ratio + l.drift_ratio >= 1:
+        bad.append('link: tenure_ratio + stop_ratio + drift_ratio must stay below 1 (of grace_ms)')
+    if l.tenure_ratio * l.grace_ms < 2 * l.beat_ms:
+        bad.append('link: tenure_ratio * grace_ms must cover two beats (2 * beat_ms)')
+    if not l.beat_ms < l.unhealthy_ms < l.close_ms:
+        bad.append('link: wanted beat_ms < unhealthy_ms < close_ms')
+    if s.view.beat_ratio > 0.34:
+        bad.append('view.beat_ratio: at most 0.34, so that two beats may be lost')
+    if s.log_level not in ('debug', 'info', 'warning', 'error'):
+        bad.append('log_level: one of debug, info, warning, error')
+    return bad
+
+
+def check(doc):
+    """Result of Settings, or of the list of mistakes."""
+    res = read(Settings, doc)
+    if res.is_error():
+        return res
+    bad = _judge(res.ok)
+    return Error(bad) if bad else Ok(res.ok)
+
+
+def load(path, over):
+    """Reads the file, lays the flags over it, checks the whole."""
+    doc = {}
+    if path:
+        try:
+            with open(path, 'rb') as f:
+                doc = tomllib.load(f)
+        except (OSError, tomllib.TOMLDecodeError) as e:
+            return Error([f'{path}: {e}'])
+    doc.update({k: v for k, v in over.items() if v is not None})
+    return check(doc)
+
+
+# what a running process may take over on SIGHUP; the rest needs a restart
+SAFE = ('log_level', 'max_body', 'errand_ms', 'poll_ms', 'buffer', 'leave_ms', 'labels', 'seeds')
+
+
+def reread(old, new):
+    """The old settings with the safe part of the new, and the names left for a restart."""
+    dif = [f.name for f in fields(Settings) if getattr(old, f.name) != getattr(new, f.name)]
+    now = {k: getattr(new, k) for k in dif if k in SAFE}
+    return replace(old, **now), [k for k in dif if k not in SAFE]
--- /dev/null
+++ b/asterwharf/furrow/node.py
@@ -0,0 +1,21 @@
+"""The controllers of an edge and of an agent, without their world. Pure."""
+
+from asterwharf.base.board import Board, Node
+from asterwharf.link.agent import Agent
+from asterwharf.link.edge import Hub
+from asterwharf.link.keeper import Keeper
+from asterwharf.ring.meet import Meet
+from asterwharf.ring.watch import Watch
+from asterwharf.scheduler.ferry import Ferry
+from asterwharf.scheduler.news import Asker
+
+
+def serve(st, inc, rng, now, wall):
+    b = Board(st, 'furrow', inc, rng, now, wall)
+    return Node(b, [Meet(b), Watch(b), Asker(b), Hub(b), Ferry(b)])
+
+
+def tend(st, inc, rng, now, wall, size):
+    b = Board(st, 'tend', inc, rng, now, wall)
+    agt = Agent(b)
+    return Node(b, [agt, Keeper(b, agt, size)])
--- /dev/null
+++ b/asterwharf/ring/meet.py
@@ -0,0 +1,102 @@
+"""How nodes find one another from the seeds, and how a core is founded. Pure."""
+
+from asterwharf.base.board import Controller
+
+
+class Meet(Controller):
+    """Dials seeds and known core nodes, tells the roll, founds the groups when all core nodes are empty."""
+
+    __slots__ = ('chairs', 'dialed', 'empties', 'seen', 'told')
+    hears = ('roll',)
+
+    def __init__(self, b, chairs=()):
+        super().__init__(b)
+        self.chairs, self.dialed, self.empties, self.told, self.seen = list(chairs), {}, {}, -1 << 40, None
+        b.nodes[b.me] = b.row()
+
+    @property
+    def pace(self):
+        return self.b.set.view.silence_ms
+
+    @property
+    def empty(self):
+        return bool(self.chairs) and all(c.seat.empty for c in self.chairs)
+
+    # --- dialling
+    def _wanted(self):
+        b = self.b
+        here = {h['addr'] for h in b.links.values()} | {b.set.bind}
+        core = [r['addr'] for n, r in b.nodes.items() if r['role'] == 'trellis' and n not in b.links]
+        # a seed is only a place to ask: it is left alone once the core is known and in reach
+        known = len(b.of('trellis')) >= b.set.core_size and not core
+        return [a for a in core + ([] if known else list(b.set.seeds)) if a not in here]
+
+    def tick(self):
+        b = self.b
+        for a in dict.fromkeys(self._wanted()):
+            if b.now - self.dialed.get(a, -1 << 40) >= self.pace * 0.5:
+                self.dialed[a] = b.now
+                b.do('dial', a)
+        pic = (sorted(b.nodes), sorted(b.holders.items()), self.empty, sorted(self.empties))
+        # news goes at once, and now and then all the same
+        if pic != self.seen or b.now - self.told > self.pace * 2:
+            self.seen, self.told = pic, b.now
+            for p, h in list(b.links.items()):
+                if b.role == 'trellis' or h['role'] == 'trellis':
+                    self.tell(p)
+
+    def up(self, peer):
+        h = self.b.links[peer]
+        self._learn(h)
+        self.tell(peer)
+
+    def lost(self, peer):
+        self.empties.pop(peer, None)
+
+    # --- the roll
+    def tell(self, peer):
+        b = self.b
+        met = {b.me: b.inc} | {n: e['inc'] for n, e in self.empties.items()} if self.empty else {}
+        b.send(peer, 'roll', node=[r for r in b.nodes.values() if r['role'] != 'tend'], empty=self.empty, inc=b.inc,
+               known=sorted(f'{n}#{i}' for n, i in met.items()), holders={g: list(h) for g, h in b.holders.items()})
+
+    def _learn(self, row):
+        b = self.b
+        old = b.nodes.get(row['name'])
+        if row['name'] == b.me or row['role'] == 'tend':
+            return
+        # the word of a node itself, or of one that meets it, beats an older address
+        if old is None or row['name'] in b.links or old['inc'] == row['inc']:
+            b.nodes[row['name']] = {k: row[k] for k in ('name', 'role', 'addr', 'zone', 'http', 'inc')}
+
+    def on_roll(self, src, d):
+        b = self.b
+        for r in d['node']:
+            if r['name'] == src or r['name'] not in b.links:
+                self._learn(r)
+        for g, (nam, view) in (d['holders'] or {}).items():
+            old = b.holders.get(g)
+            if old is None or view > old[1] or (view == old[1] and nam != old[0] and nam == src):
+                b.holders[g] = (nam, view)
+        if b.links.get(src, {}).get('role') != 'trellis':
+            return
+        self.empties.pop(src, None)
+        if d['empty']:
+            self.empties[src] = {'inc': d['inc'], 'known': d['known']}
+        self._found()
+
+    def _found(self):
+        """Only when every core process has met every other, and all say "empty"."""
+        b = self.b
+        if not self.empty or len(self.empties) != b.set.core_size - 1:
+            return
+        met = {b.me: b.inc} | {n: e['inc'] for n, e in self.empties.items()}
+        mark = sorted(f'{n}#{i}' for n, i in met.items())
+        if any(e['known'] != mark for e in self.empties.values()):
+            return
+        # they must hear that we have met them too, or they would wait for ever
+        for p in self.empties:
+            self.tell(p)
+        for c in self.chairs:
+            c.found(met)
+        b.log('info', 'founded', seats=met)
--- /dev/null
+++ b/asterwharf/scheduler/cell.py
@@ -0,0 +1,281 @@
+"""The state machine of a cell: jobs, claims and minions, changed only by delivered changes. Pure."""
+
+import hashlib
+
+from asterwharf.scheduler.claims import Claims
+from asterwharf.scheduler.model import (BUSY, CANCELLED, DONE, FAILED, FINAL, PLACED, READY, RECOVERING, RUNNING, STEPS,
+                                        STOPPING, WAITING, Job, Minion, Task, build)
+from asterwharf.wire.schema import pack, unpack
+
+SHARDS, MARKS, HIST = 64, 800, 8
+
+
+def shard(key):
+    h = hashlib.sha256(key.encode()).hexdigest()[:16]
+    return int(h[:4], 16) % SHARDS, h
+
+
+class Cell(Claims):
+    """Applies changes in the group's one order; the same on every seat."""
+
+    __slots__ = ('by', 'dirty', 'emptied', 'gone', 'jobs', 'minions', 'moved', 'open', 'sequence', 'tasks')
+
+    def __init__(self):
+        self.moved = []
+        self.load({})
+
+    # --- rows on disk
+    def load(self, rows):
+        self.jobs, self.minions, self.tasks, self.open = {}, {}, {}, {}
+        self.by = {s: {} for s in STEPS}
+        self.sequence, self.emptied, self.gone, self.dirty = 0, frozenset(), {}, set()
+        for k, raw in rows.items():
+            self._row(k, unpack(raw)[1])
+        for t in list(self.tasks.values()):
+            if t.state in BUSY and t.minion in self.minions:
+                self.minions[t.minion].load[t.key] = t.need
+
+    def _row(self, k, d):
+        knd, _, nam = k.partition(':')
+        if knd == 'meta':
+            self.sequence, self.emptied = d['sequence'], frozenset(d['emptied'])
+        elif knd == 'gone':
+            self.gone[int(nam)] = d['gone']
+        elif knd == 'minion':
+            sts = d.pop('strays')
+            m = self.minions[nam] = Minion(**d)
+            m.strays = {f"{r['task']}#{r['round']}": (r['cores'], r['gpus'], r['mem']) for r in sts}
+        else:
+            tks = {x['name']: Task(**x) for x in d.pop('tasks')}
+            self._keep(Job(**d, tasks=tks).bind())
+
+    def _keep(self, j):
+        self.jobs[j.key] = j
+        for t in j.tasks.values():
+            self.tasks[t.key] = t
+            self.by[t.state][t.key] = t
+        if not j.over:
+            self.open[j.tenant] = self.open.get(j.tenant, 0) + 1
+
+    def delta(self):
+        """Rows changed since the last call; None where a row is no more."""
+        out = {k: self._raw(k) for k in self.dirty}
+        self.dirty = set()
+        return out
+
+    def _raw(self, k):
+        knd, _, nam = k.partition(':')
+        if knd == 'meta':
+            return pack('r_meta', {'sequence': self.sequence, 'emptied': sorted(self.emptied)})
+        if knd == 'gone':
+            return pack('r_meta', {'gone': self.gone[int(nam)]})
+        if knd == 'minion':
+            m = self.minions.get(nam)
+            if m is None:
+                return None
+            d = m.dump()
+            d['strays'] = [{'task': k.rpartition('#')[0], 'round': int(k.rpartition('#')[2]), 'cores': float(c),
+                            'gpus': g, 'mem': x} for k, (c, g, x) in m.strays.items()]
+            return pack('r_minion', d)
+        j = self.jobs.get(nam)
+        if j is None:
+            return None
+        return pack('r_job', j.dump() | {'tasks': [t.dump() for t in j.tasks.values()]})
+
+    # --- changes
+    def apply(self, op, raw):
+        knd, d = unpack(raw)
+        return getattr(self, knd)(d)
+
+    def move(self, t, new, why, at):
+        """The one function for every change of a task's state."""
+        if new not in STEPS[t.state]:
+            raise AssertionError(f'{t.key}: {t.state} -> {new}')
+        was = t.job.over
+        self.by[t.state].pop(t.key, None)
+        m = self.minions.get(t.minion)
+        if m is not None and t.state in BUSY and new not in BUSY:
+            m.load.pop(t.key, None)
+            self.dirty.add(f'minion:{m.name}')
+        t.state, t.why = new, why
+        self.by[new][t.key] = t
+        if m is not None and new in BUSY:
+            m.load[t.key] = t.need
+        if new in FINAL:
+            t.end = at
+        if new in (READY, CANCELLED):
+            t.want, t.pre = '', ''
+        self.dirty.add(f'job:{t.job.key}')
+        self.moved.append(t.key)
+        if t.job.over and not was:
+            t.job.end = at
+            self.open[t.job.tenant] -= 1
+
+    def t_submit(self, d):
+        key = f"{d['tenant']}/{d['id']}"
+        j = self.jobs.get(key)
+        if j is not None:
+            return 'same' if j.sum == d['sum'] else 'other_body'
+        if self.forgot(key):
+            return 'forgotten'
+        self._keep(build(d['spec'], d['tenant'], d['id'], d['sum'], d['at']))
+        self.dirty.add(f'job:{key}')
+        return 'taken'
+
+    def forgot(self, key):
+        n, h = shard(key)
+        return h in self.gone.get(n, ())
+
+    def t_cancel(self, d):
+        j = self.jobs.get(f"{d['tenant']}/{d['id']}")
+        if j is None:
+            return 'unknown_job'
+        if j.over:
+            return 'ok' if j.state == CANCELLED else 'ended'
+        if not j.fate:
+            self._doom(j, CANCELLED, 'cancelled by its caller', d['at'])
+        return 'ok' if j.over else 'under_way'
+
+    def _doom(self, j, fate, why, at):
+        """No start comes after this: what has not started is cancelled, the rest is stopped."""
+        j.fate, j.why = fate, why
+        self.dirty.add(f'job:{j.key}')
+        for t in j.tasks.values():
+            if t.state in (WAITING, READY):
+                self.move(t, CANCELLED, why, at)
+            elif t.state in BUSY:
+                self.stop(t, 'cancel', why, at)
+
+    def stop(self, t, want, why, at):
+        # a cancel outranks a gang's going back or an eviction
+        if t.state == STOPPING:
+            if want == 'cancel':
+                t.want = want
+                self.dirty.add(f'job:{t.job.key}')
+            return
+        self.move(t, STOPPING, why, at)
+        t.want = want
+
+    def t_place(self, d):
+        """Places bundles, each whole or not at all; every rule is looked at once more here."""
+        out = []
+        # a start decided under an older configuration is not delivered
+        if d['sequence'] < self.sequence:
+            return out
+        for b in d['bundles']:
+            its = [(self.tasks.get(i['task']), self.minions.get(i['minion']), i['round']) for i in b['items']]
+            if not self._whole(its, d['at']):
+                continue
+            for t, m, r in its:
+                t.round, t.minion, t.start, t.boot = r, m.name, d['at'], ''
+                self.move(t, PLACED, f'placed on {m.name}', d['at'])
+                self.dirty.add(f'minion:{m.name}')
+                out.append(t.key)
+        return out
+
+    def _whole(self, its, at):
+        room = {}
+        for t, m, r in its:
+            if t is None or m is None or t.state != READY or r != t.round + 1 or t.job.fate or t.due > at:
+                return False
+            if not m.open or m.zone in self.emptied or (t.zones and m.zone not in t.zones):
+                return False
+            c, g, x = room.setdefault(m.name, m.free)
+            room[m.name] = c - t.cores, g - t.gpus, x - t.mem
+        if any(c < -1e-9 or g < 0 or x < 0 for c, g, x in room.values()):
+            return False
+        # a gang goes together or not at all
+        got = {t.key for t, _, _ in its}
+        return all(o.key in got for t, _, _ in its if t.gang for o in t.job.gang(t.gang) if o.state not in FINAL)
+
+    def t_evict(self, d):
+        out = []
+        for i in d['items']:
+            t = self.tasks.get(i['task'])
+            if t and t.round == i['round'] and t.state in (PLACED, RUNNING):
+                self.stop(t, 'evict', d['why'], d['at'])
+                self.regroup(t, 'a member was evicted', d['at'])
+                out.append(t.key)
+        return out
+
+    def t_expire(self, d):
+        """The grace of a lost round is over: its agent has stopped it by now."""
+        out = []
+        for i in d['items']:
+            t = self.tasks.get(i['task'])
+            m = self.minions.get(t.minion) if t else None
+            if t is None or t.round != i['round'] or m is None or m.up or t.state not in (RECOVERING, STOPPING):
+                continue
+            # until the agent is heard again the old round may still take room there
+            m.strays[f'{t.key}#{t.round}'] = t.need
+            self.lost(t, 'grace expired', d['at'])
+            out.append(t.key)
+        return out
+
+    def lost(self, t, why, at):
+        """A round that ended without an outcome: not a try, never a reason to fail."""
+        self.note(t, why)
+        if t.state == STOPPING and t.want == 'cancel':
+            return self.move(t, CANCELLED, why, at)
+        self.move(t, READY, why, at)
+        self.regroup(t, 'a member was lost', at)
+
+    def regroup(self, t, why, at):
+        """When one member of a gang goes back, the others go back with it."""
+        if not t.gang:
+            return
+        for o in t.job.gang(t.gang):
+            if o is not t and o.state in (PLACED, RUNNING, RECOVERING):
+                self.stop(o, 'gang', why, at)
+
+    def note(self, t, txt):
+        t.hist = (t.hist + [f'{t.round}@{t.minion}: {txt}'])[-HIST:]
+
+    def outcome(self, t, ok, why, at):
+        """The current round's outcome, the only one that decides."""
+        self.note(t, 'done' if ok else f'failed: {why}')
+        if ok:
+            self.move(t, DONE, why, at)
+            return self._free(t.job, at)
+        if t.state == STOPPING:
+            return self.lost(t, f'failed while stopping: {why}', at)
+        t.used += 1
+        t.avoid = (t.avoid + [t.minion])[-3:]
+        t.hold = at
+        if t.used < t.tries:
+            self.move(t, READY, f'failed: {why}', at)
+            return self.regroup(t, 'a member failed', at)
+        self.move(t, FAILED, f'all {t.tries} tries failed: {why}', at)
+        if not t.job.fate:
+            self._doom(t.job, FAILED, f'{t.name}: {t.why}', at)
+
+    def _free(self, j, at):
+        if j.fate:
+            return
+        for t in j.tasks.values():
+            if t.state == WAITING and all(j.tasks[a].state == DONE for a in t.after):
+                self.move(t, READY, 'the steps before it are done', at)
+
+    def t_config(self, d):
+        if d['sequence'] <= self.sequence:
+            return self.sequence
+        self.sequence, self.emptied = d['sequence'], frozenset(d['emptied'])
+        self.dirty.add('meta:')
+        return self.sequence
+
+    def t_forget(self, d):
+        for k in d['keys']:
+            j = self.jobs.get(k)
+            if j is None or not j.over:
+                continue
+            n, h = shard(k)
+            self.gone[n] = (self.gone.get(n, []) + [h])[-MARKS:]
+            self.dirty.update((f'gone:{n}', f'job:{k}'))
+            del self.jobs[k]
+            for t in j.tasks.values():
+                del self.tasks[t.key]
+                self.by[t.state].pop(t.key, None)
+        return len(d['keys'])
+
+
+__all__ = ['Cell', 'RUNNING']
--- /dev/null
+++ b/asterwharf/scheduler/clerk.py
@@ -0,0 +1,182 @@
+"""Answers errands at the holders: the core's and the cell's. Pure."""
+
+from asterwharf.base.board import Controller
+from asterwharf.scheduler import config, jobs, show
+from asterwharf.scheduler.model import FINAL
+
+NOBODY = {'retry_ms': 1000}
+
+
+class Clerk(Controller):
+    """Looks an errand up, judges it, orders the change, answers when it is delivered."""
+
+    __slots__ = ('cell', 'chairs', 'core', 'placer')
+    hears = ('errand',)
+
+    def __init__(self, b, core, cell, placer):
+        super().__init__(b)
+        self.core, self.cell, self.placer = core, cell, placer
+        self.chairs = {c.grp: c for c in (core, cell)}
+
+    def on_errand(self, src, d):
+        chr_ = self.chairs.get(d['grp'])
+
+        def give(code, body=None):
+            hnt = self.b.holders.get(d['grp'], ('', 0))[0] if code == 'no_holder' else ''
+            self.b.send(src, 'returned', id=d['id'], code=code, body=body, hint=hnt)
+
+        fn = getattr(self, 'do_' + d['op'], None)
+        if chr_ is None or fn is None:
+            return give('no_path', {'details': [f"{d['grp']}.{d['op']}"]})
+        if not chr_.holds:
+            return give('no_holder', NOBODY)
+        self.b.count[f"errand.{d['op']}"] += 1
+        fn(d['args'] or {}, give)
+
+    def _sure(self, chr_, give, fn):
+        """Runs `fn` once a majority confirms that this node still holds the group."""
+        if not chr_.sure(lambda r: fn() if r is not None else give('no_holder', NOBODY)):
+            give('no_holder', NOBODY)
+
+    def _order(self, chr_, knd, doc, give, then):
+        def got(r):
+            if r is None:
+                # neither taken nor not taken: the caller sends it again
+                return give('unsure', NOBODY)
+            then(r[1])
+        if not chr_.order(knd, doc, got):
+            give('no_holder', NOBODY)
+
+    # --- the core
+    def do_config_get(self, a, give):
+        def fn():
+            c = self.core.mac.conf
+            if c['sequence'] == a.get('known', -1):
+                return give('no_news', {'sequence': c['sequence']})
+            give('ok', {'sequence': c['sequence'], 'by': c['by'], 'at': c['at'],
+                        'config': config.swell(c['doc']) if c['doc'] else {}})
+        self._sure(self.core, give, fn)
+
+    def do_config_put(self, a, give):
+        res = config.check(a['config'])
+        if res.is_error():
+            return give(res.error.code, {'details': res.error.more})
+        doc = {'sequence': 0, 'base': a['base'], 'by': a.get('by', ''), 'at': self.core.wall,
+               'doc': config.squeeze(a['config'])}
+
+        def then(r):
+            give('ok' if r['ok'] else 'stale', {'sequence': r['sequence']})
+        self._order(self.core, 'c_config', doc, give, then)
+
+    def do_nodes(self, a, give):
+        def fn():
+            b = self.b
+            rows = [dict(r, connected=n in b.links or n == b.me) for n, r in sorted(b.nodes.items())]
+            give('ok', {'nodes': rows, 'holders': {g: h[0] for g, h in b.holders.items()}})
+        self._sure(self.core, give, fn)
+
+    def do_seats(self, a, give):
+        out = {}
+        for g, c in self.chairs.items():
+            s = c.seat
+            out[g] = {'state': s.state, 'view': s.view, 'holder': self.b.holders.get(g, ('', 0))[0],
+                      'delivered': s.upto, 'last': s.log.last, 'seats': s.log.seats, 'counts': s.count}
+            if s.ten:
+                out[g]['siblings'] = {n: {'acked': w.ack, 'heard_ms_ago': self.b.now - w.heard, 'slow': w.slow}
+                                      for n, w in s.ten.ways.items()}
+        give('ok', {'node': self.b.me, 'groups': out})
+
+    # --- the cell
+    def _key(self, a):
+        return f"{a['tenant']}/{a['id']}"
+
+    def do_submit(self, a, give):
+        # the identifier is looked up first: an earlier sending may have been taken
+        self._sure(self.cell, give, lambda: self._submit(a, give))
+
+    def _submit(self, a, give):
+        mac, cfg = self.cell.mac, self.b.config or config.bare()
+        dig = jobs.digest(a['spec'])
+        old = mac.jobs.get(self._key(a))
+        if old is not None:
+            if old.sum == dig:
+                return give('same', show.job(old))
+            return give('other_body', {'details': [f"id: {a['id']!r}"]})
+        if mac.forgot(self._key(a)):
+            return give('forgotten')
+        res = jobs.shape(a['spec'])
+        bad = res.error if res.is_error() else jobs.judge(res.ok, cfg, a['tenant'])
+        if bad:
+            return give(bad.code, {'details': bad.more})
+        ten = cfg.tenants[a['tenant']]
+        if mac.open.get(a['tenant'], 0) >= ten.max_jobs:
+            return give('tenant_full', {'retry_ms': 5000})
+        if len(self.cell.seat.waits) >= self.b.set.buffer:
+            return give('overload', {'retry_ms': 1000})
+        spec = {'class': res.ok.cls, 'tasks': a['spec']['tasks']}
+        doc = {'tenant': a['tenant'], 'id': a['id'], 'sum': dig, 'spec': spec, 'at': self.cell.wall}
+
+        def then(r):
+            if r in ('taken', 'same'):
+                return give(r, show.job(mac.jobs[self._key(a)]))
+            give(r)
+        self._order(self.cell, 't_submit', doc, give, then)
+
+    def do_job(self, a, give):
+        def fn():
+            mac = self.cell.mac
+            j = mac.jobs.get(self._key(a))
+            if j is None:
+                return give('forgotten' if mac.forgot(self._key(a)) else 'unknown_job',
+                            {'details': [f"id: {a['id']!r}"]})
+            give('ok', show.job(j))
+        self._sure(self.cell, give, fn)
+
+    def do_jobs(self, a, give):
+        def fn():
+            got = [j for j in self.cell.mac.jobs.values() if not a.get('tenant') or j.tenant == a['tenant']]
+            if a.get('state'):
+                got = [j for j in got if j.state == a['state']]
+            got.sort(key=lambda j: (j.at, j.key), reverse=True)
+            give('ok', {'total': len(got), 'jobs': [show.brief(j) for j in got[:a.get('most', 200)]]})
+        self._sure(self.cell, give, fn)
+
+    def do_cancel(self, a, give):
+        def fn():
+            doc = {'tenant': a['tenant'], 'id': a['id'], 'at': self.cell.wall}
+
+            def then(r):
+                j = self.cell.mac.jobs.get(self._key(a))
+                # confirmed only when nothing of it can run any more; before that "under way"
+                give(r, dict(show.job(j), retry_ms=1000) if j else {'details': [f"id: {a['id']!r}"]})
+            self._order(self.cell, 't_cancel', doc, give, then)
+        self._sure(self.cell, give, fn)
+
+    def do_minions(self, a, give):
+        self._sure(self.cell, give, lambda: give('ok', {
+            'minions': [show.minion(m) for _, m in sorted(self.cell.mac.minions.items())]}))
+
+    def do_claims(self, a, give):
+        def fn():
+            mac = self.cell.mac
+            rows = [show.claim(mac.tasks[k]) for m in mac.minions.values() for k in m.load]
+            give('ok', {'claims': sorted(rows, key=lambda r: (r['minion'], r['task']))})
+        self._sure(self.cell, give, fn)
+
+    def do_drain(self, a, give):
+        doc = {'minion': a['minion'], 'on': a['on'], 'by': 'operator', 'at': self.cell.wall}
+        self._order(self.cell, 't_drain', doc, give, lambda r: give(r, {'minion': a['minion'], 'draining': a['on']}))
+
+    def do_gone(self, a, give):
+        self._order(self.cell, 't_gone', {'minion': a['minion'], 'at': self.cell.wall}, give,
+                    lambda r: give(r, {'minion': a['minion']}))
+
+    def do_why(self, a, give):
+        def fn():
+            j = self.cell.mac.jobs.get(self._key(a))
+            if j is None:
+                return give('unknown_job', {'details': [f"id: {a['id']!r}"]})
+            rows = [{'task': t.name, 'state': t.state, 'why': t.why if t.state in FINAL else self.placer.why(t)}
+                    for t in j.tasks.values()]
+            give('ok', {'job': j.key, 'state': j.state, 'tasks': rows})
+        self._sure(self.cell, give, fn)
--- /dev/null
+++ b/asterwharf/scheduler/config.py
@@ -0,0 +1,144 @@
+"""The operators' whole configuration: its shape, its checks, its compiled form. Pure."""
+
+import json
+import zlib
+from dataclasses import dataclass, field
+
+from expression import Error, Ok
+
+from asterwharf.base.checks import read
+from asterwharf.base.codes import trouble
+from asterwharf.scheduler.jobs import NAME
+from asterwharf.scheduler.policy import Policy, compile_policy
+
+
+@dataclass(frozen=True)
+class Zone:
+    emptied: bool = False
+
+
+@dataclass(frozen=True)
+class Class:
+    priority: int = 0
+    unattended: str = 'fence'
+    retry_ms: int = 1000
+
+
+@dataclass(frozen=True)
+class Tenant:
+    weight: float = 1.0
+    max_jobs: int = 5000
+    max_cores: float = 1e9
+    policy: str = ''
+
+
+@dataclass(frozen=True)
+class Program:
+    may_land: str = ''
+    may_evict: str = ''
+    score: str = ''
+
+
+@dataclass(frozen=True)
+class Limits:
+    tasks: int = 1000
+    cores: float = 1024.0
+    gpus: int = 64
+    mem: int = 1 << 40
+    tries: int = 20
+
+
+@dataclass(frozen=True)
+class Doc:
+    zones: dict[str, Zone]
+    tenants: dict[str, Tenant]
+    classes: dict[str, Class] = field(default_factory=dict)
+    policies: dict[str, Program] = field(default_factory=dict)
+    limits: Limits = field(default_factory=Limits)
+    note: str = ''
+
+
+class Config:
+    """A checked document and its compiled policies."""
+
+    __slots__ = ('classes', 'doc', 'emptied', 'limits', 'policies', 'raw', 'sequence', 'tenants', 'zones')
+
+    def __init__(self, doc, raw, pols, seq):
+        self.doc, self.raw, self.policies, self.sequence = doc, raw, pols, seq
+        self.zones, self.tenants, self.limits = doc.zones, doc.tenants, doc.limits
+        self.classes = {'default': Class()} | doc.classes
+        self.emptied = frozenset(z for z, v in doc.zones.items() if v.emptied)
+
+    def policy(self, tenant):
+        t = self.tenants.get(tenant)
+        return self.policies.get(t.policy) if t else None
+
+
+def _names(doc):
+    bad = []
+    for k in ('zones', 'tenants', 'classes', 'policies'):
+        bad += [f'{k}.{n}: not a name' for n in getattr(doc, k) if not NAME.match(n)]
+    return bad
+
+
+def _cross(doc):
+    bad = []
+    if not doc.zones:
+        bad.append('zones: at least one is wanted')
+    for n, t in doc.tenants.items():
+        if t.policy and t.policy not in doc.policies:
+            bad.append(f'tenants.{n}.policy: no policy {t.policy!r}')
+        if t.weight <= 0:
+            bad.append(f'tenants.{n}.weight: must be above zero')
+        if t.max_jobs < 0 or t.max_cores < 0:
+            bad.append(f'tenants.{n}: a limit is negative')
+    for n, c in doc.classes.items():
+        if c.unattended not in ('fence', 'keep'):
+            bad.append(f'classes.{n}.unattended: "fence" or "keep"')
+        if not -1000 <= c.priority <= 1000:
+            bad.append(f'classes.{n}.priority: between -1000 and 1000')
+        if c.retry_ms < 0:
+            bad.append(f'classes.{n}.retry_ms: negative')
+    for k in ('tasks', 'cores', 'gpus', 'mem', 'tries'):
+        if getattr(doc.limits, k) < 0:
+            bad.append(f'limits.{k}: negative')
+    return bad
+
+
+def check(raw, seq=0):
+    """Result of the Config, or of every mistake with its path."""
+    res = read(Doc, raw)
+    if res.is_error():
+        return Error(trouble('bad_field', *res.error))
+    doc = res.ok
+    bad = _names(doc) + _cross(doc)
+    if bad:
+        return Error(trouble('bad_config', *bad))
+    if doc.zones and all(z.emptied for z in doc.zones.values()):
+        return Error(trouble('last_zone', 'zones: every zone is emptied'))
+    pols, bad = {}, []
+    for n, p in doc.policies.items():
+        got = compile_policy(p)
+        if got.is_error():
+            bad += [f'policies.{n}.{m}' for m in got.error]
+        else:
+            pols[n] = got.ok
+    if bad:
+        return Error(trouble('bad_policy', *bad))
+    return Ok(Config(doc, raw, pols, seq))
+
+
+def squeeze(raw):
+    return zlib.compress(json.dumps(raw, separators=(',', ':')).encode(), 1)
+
+
+def swell(byt):
+    return json.loads(zlib.decompress(byt))
+
+
+def bare():
+    """What holds before any operator has spoken: no tenants, so nothing is taken."""
+    return Config(Doc(zones={}, tenants={}), {}, {}, 0)
+
+
+__all__ = ['Class', 'Config', 'Doc', 'Policy', 'bare', 'check', 'squeeze', 'swell']
--- /dev/null
+++ b/asterwharf/scheduler/ferry.py
@@ -0,0 +1,102 @@
+"""Carries errands from the node that took them to the holder that can answer. Pure."""
+
+from asterwharf.base.board import Controller
+
+# errands that change nothing may be given up on with "come again"; the others only with "unsure"
+READS = frozenset(('job', 'jobs', 'minions', 'minion', 'claims', 'config_get', 'nodes', 'cells', 'why', 'seats'))
+
+
+# refusals that another holder might not have given
+REFUSALS = frozenset(('tenant_full', 'overload', 'unknown_tenant', 'beyond_limits', 'bad_size', 'bad_field'))
+
+
+class Trip:
+    """One errand under way."""
+
+    __slots__ = ('args', 'end', 'grp', 'hops', 'id', 'maybe', 'next', 'op', 'then', 'to', 'wait')
+
+    def __init__(self, tid, grp, op, args, end, then):
+        self.id, self.grp, self.op, self.args, self.end, self.then = tid, grp, op, args, end, then
+        self.to, self.wait, self.maybe, self.hops, self.next = '', False, False, 0, 0
+
+
+class Ferry(Controller):
+    """Sends, sends again where that is safe, and gives up in time: the last word is said at once."""
+
+    __slots__ = ('n', 'trips', 'turn')
+    hears = ('returned',)
+
+    def __init__(self, b):
+        super().__init__(b)
+        self.trips, self.n, self.turn = {}, 0, 0
+
+    def start(self, op, grp, args, then, ttl=0):
+        """`then(code, body)` is called once, at the latest when the errand's time is up."""
+        b = self.b
+        # a full buffer is refused at once, not when its time is up
+        if len(self.trips) >= b.set.buffer:
+            b.count['refused.overload'] += 1
+            return then('overload', {'retry_ms': 1000})
+        self.n += 1
+        t = Trip(f'{b.me}.{b.inc}.{self.n}', grp, op, args, b.now + (ttl or b.set.errand_ms), then)
+        self.trips[t.id] = t
+        self._go(t)
+
+    def _pick(self, t, hint=''):
+        b = self.b
+        for n in (hint, b.holders.get(t.grp, ('', 0))[0]):
+            if n and (n in b.links or n == b.me):
+                return n
+        core = sorted(n for n, h in b.links.items() if h['role'] == 'trellis')
+        self.turn += 1
+        return core[self.turn % len(core)] if core else ''
+
+    def _go(self, t, hint=''):
+        b = self.b
+        t.to, t.next = self._pick(t, hint), b.now + b.set.view.silence_ms // 4
+        if not t.to:
+            return
+        # a hop that never returned may have been taken all the same
+        t.maybe = t.maybe or t.wait
+        t.wait = True
+        t.hops += 1
+        b.send(t.to, 'errand', id=t.id, grp=t.grp, op=t.op, args=t.args, ttl=max(1, t.end - b.now), hops=t.hops)
+        t.next = b.now + b.set.view.silence_ms * 2
+
+    def on_returned(self, src, d):
+        t = self.trips.get(d['id'])
+        if t is None:
+            return
+        # not the holder, or a holder that lost the view: every errand may be sent again, being idempotent
+        if d['code'] in ('no_holder', 'unsure') and self.b.now < t.end:
+            t.wait, t.maybe = False, t.maybe or d['code'] == 'unsure'
+            if d['hint'] and d['hint'] != src and t.hops < 4:
+                return self._go(t, d['hint'])
+            t.to, t.next = '', self.b.now + self.b.set.view.silence_ms // 8
+            return
+        code = d['code']
+        # "not taken" is said only when no other hop can have taken it
+        if t.maybe and t.op not in READS and code in REFUSALS:
+            return self._end(t, 'unsure', {'retry_ms': 1000})
+        self._end(t, code, d['body'])
+
+    def _end(self, t, code, body):
+        self.trips.pop(t.id, None)
+        self.b.count[f'returned.{code}'] += 1
+        t.then(code, body)
+
+    def lost(self, peer):
+        for t in list(self.trips.values()):
+            if t.to == peer:
+                t.to, t.next = '', self.b.now
+
+    def tick(self):
+        now = self.b.now
+        for t in list(self.trips.values()):
+            if now >= t.end:
+                # what was sent may have been taken: never "not taken" when unsure
+                sure = t.op in READS or not (t.maybe or t.wait)
+                self._end(t, 'no_holder' if sure else 'unsure', {'retry_ms': 1000})
+            elif now >= t.next:
+                t.hops = 0
+                self._go(t)
--- /dev/null
+++ b/asterwharf/scheduler/news.py
@@ -0,0 +1,107 @@
+"""How the configuration reaches the data plane: each node asks with its sequence and is answered when there is news."""
+
+from asterwharf.base.board import Controller
+from asterwharf.scheduler import config
+
+
+class Crier(Controller):
+    """On a core node: keeps the askers, answers them when a newer configuration is delivered."""
+
+    __slots__ = ('askers', 'chair', 'seq')
+    hears = ('ask',)
+
+    def __init__(self, b, chair):
+        super().__init__(b)
+        self.chair, self.askers, self.seq = chair, {}, -1
+
+    def on_ask(self, src, d):
+        # only a holder may say "nothing newer", and only once a majority confirms it
+        if not self.chair.holds:
+            return self._say(src, d['id'], False)
+        self.askers[src] = (d['id'], d['sequence'], self.b.now + d['wait'])
+        self._look(src)
+
+    def _look(self, src):
+        nid, seq, _ = self.askers[src]
+        if self.chair.mac.sequence > seq:
+            del self.askers[src]
+            self._say(src, nid, True, True)
+
+    def _say(self, src, nid, ok, full=False):
+        c = self.chair.mac.conf
+        hnt = self.b.holders.get('core', ('', 0))[0]
+        self.b.send(src, 'news', id=nid, ok=ok, sequence=c['sequence'], doc=c['doc'] if full else b'', hint=hnt)
+
+    def lost(self, peer):
+        self.askers.pop(peer, None)
+
+    def tick(self):
+        b = self.b
+        if self.seq != self.chair.mac.sequence:
+            self.seq = self.chair.mac.sequence
+            self._adopt()
+            for s in list(self.askers):
+                self._look(s)
+        for s, (nid, _, end) in list(self.askers.items()):
+            if not self.chair.holds:
+                del self.askers[s]
+                self._say(s, nid, False)
+            elif b.now >= end:
+                del self.askers[s]
+                self.chair.sure(lambda r, s=s, nid=nid: self._say(s, nid, r is not None))
+
+    def _adopt(self):
+        c = self.chair.mac.conf
+        adopt(self.b, c['sequence'], c['doc'])
+
+
+class Asker(Controller):
+    """On an edge: asks the holder of the core, and never goes back to a lower sequence."""
+
+    __slots__ = ('due', 'id', 'n', 'to')
+    hears = ('news',)
+
+    def __init__(self, b):
+        super().__init__(b)
+        self.n, self.id, self.due, self.to = 0, '', 0, ''
+
+    @property
+    def seq(self):
+        return self.b.config.sequence if self.b.config else 0
+
+    def tick(self):
+        b = self.b
+        if b.now < self.due:
+            return
+        core = sorted(n for n, h in b.links.items() if h['role'] == 'trellis')
+        if not core:
+            return
+        hld = b.holders.get('core', ('', 0))[0]
+        self.to = hld if hld in core else core[self.n % len(core)]
+        self.n += 1
+        self.id = f'{b.inc}.{self.n}'
+        b.send(self.to, 'ask', id=self.id, sequence=self.seq, wait=b.set.poll_ms)
+        self.due = b.now + b.set.poll_ms + b.set.view.silence_ms * 2
+
+    def lost(self, peer):
+        if peer == self.to:
+            self.due = self.b.now
+
+    def on_news(self, src, d):
+        if d['id'] != self.id:
+            return
+        self.due = self.b.now if d['ok'] else self.b.now + self.b.set.view.silence_ms // 4
+        if d['ok'] and d['doc'] and d['sequence'] > self.seq:
+            adopt(self.b, d['sequence'], d['doc'])
+
+
+def adopt(b, seq, doc):
+    """Puts a delivered configuration in force here; an older one never comes back."""
+    if not seq or (b.config and seq <= b.config.sequence):
+        return
+    res = config.check(config.swell(doc), seq)
+    if res.is_error():
+        # taken by a release that knew more than this one: the old one stays, an operator must look
+        return b.log('error', 'alarm', alarm='config_unreadable', sequence=seq, details=res.error.more[:3])
+    b.config, b.emptied = res.ok, res.ok.emptied
+    b.log('info', 'config', sequence=seq)
--- /dev/null
+++ b/asterwharf/scheduler/placer.py
@@ -0,0 +1,201 @@
+"""Placement: which ready tasks go where, decided by the holder, settled by delivery. Pure."""
+
+from asterwharf.base.board import Controller
+from asterwharf.scheduler.model import BUSY, FINAL, READY, WAITING
+
+MOST = 400
+
+
+class Room:
+    """A working copy of one minion's room while a turn's placement is worked out."""
+
+    __slots__ = ('c', 'g', 'm', 'x')
+
+    def __init__(self, m):
+        self.m = m
+        self.c, self.g, self.x = m.free
+
+    def fits(self, t):
+        return t.cores <= self.c + 1e-9 and t.gpus <= self.g and t.mem <= self.x
+
+    def take(self, t):
+        self.c, self.g, self.x = self.c - t.cores, self.g - t.gpus, self.x - t.mem
+
+    def back(self, t):
+        self.c, self.g, self.x = self.c + t.cores, self.g + t.gpus, self.x + t.mem
+
+    @property
+    def slack(self):
+        return self.c / self.m.cores if self.m.cores else 0.0
+
+
+class Placer(Controller):
+    """Takes urgent classes first, then the tenant that has least for its weight."""
+
+    __slots__ = ('busy', 'cell', 'due', 'waits')
+
+    def __init__(self, b, cell):
+        super().__init__(b)
+        self.cell, self.busy, self.due, self.waits = cell, False, 0, {}
+
+    @property
+    def mac(self):
+        return self.cell.mac
+
+    # --- which tasks
+    def _rested(self, t, cfg, at):
+        if not t.used or not t.hold:
+            return True
+        cls = cfg.classes.get(t.job.cls) or cfg.classes['default']
+        return at >= t.hold + min(cls.retry_ms * 2 ** (t.used - 1), cls.retry_ms * 32)
+
+    def _bundles(self, cfg, at):
+        """Tasks that may start now, each alone or with its whole gang: [(priority, tenant, [tasks])]."""
+        out, seen = [], set()
+        for t in list(self.mac.by[READY].values()):
+            if t.due > at or t.key in seen or t.job.tenant not in cfg.tenants or not self._rested(t, cfg, at):
+                continue
+            grp = [t]
+            if t.gang:
+                grp = [o for o in t.job.gang(t.gang) if o.state not in FINAL]
+                seen.update(o.key for o in grp)
+                if any(o.state != READY or not self._rested(o, cfg, at) for o in grp):
+                    continue
+            cls = cfg.classes.get(t.job.cls) or cfg.classes['default']
+            out.append((cls.priority, t.job.tenant, t.job.at, grp))
+        return out
+
+    def _order(self, bnd, cfg):
+        """By priority; within one, always the tenant with the least in use for its weight."""
+        use = {}
+        for s in BUSY:
+            for t in self.mac.by[s].values():
+                use[t.job.tenant] = use.get(t.job.tenant, 0) + t.cores
+        lev = {}
+        for p, ten, at, grp in bnd:
+            lev.setdefault(p, {}).setdefault(ten, []).append((at, grp))
+        for p in sorted(lev, reverse=True):
+            lines = {ten: sorted(q, key=lambda r: (r[0], r[1][0].key), reverse=True) for ten, q in lev[p].items()}
+            while lines:
+                ten = min(lines, key=lambda n: (use.get(n, 0) / cfg.tenants[n].weight, n))
+                grp = lines[ten].pop()[1]
+                if not lines[ten]:
+                    del lines[ten]
+                yield ten, grp, use
+
+    # --- where
+    def _world(self, t, m, cfg):
+        ten = cfg.tenants[t.job.tenant]
+        cls = cfg.classes.get(t.job.cls) or cfg.classes['default']
+        # only what does not change with load: so one judgement serves a whole class of cases
+        return {'task': {'class': t.job.cls, 'cores': float(t.cores), 'gpus': t.gpus, 'mem': t.mem, 'gang': t.gang,
+                         'priority': cls.priority, 'zones': t.zones},
+                'tenant': {'name': t.job.tenant, 'weight': float(ten.weight)},
+                'minion': {'name': m.name, 'zone': m.zone, 'cores': float(m.cores), 'gpus': m.gpus, 'mem': m.mem,
+                           'labels': m.labels},
+                'zone': {'name': m.zone, 'emptied': m.zone in cfg.emptied}}
+
+    def allowed(self, t, m, cfg):
+        """'' where the task may land, else why not."""
+        if not m.up:
+            return 'not connected'
+        if not m.open:
+            return 'draining'
+        if m.zone in cfg.emptied or m.zone in self.mac.emptied:
+            return f'zone {m.zone} is emptied'
+        if t.zones and m.zone not in t.zones:
+            return 'not in the zones asked for'
+        pol = cfg.policy(t.job.tenant)
+        if pol and not pol.may_land(self._world(t, m, cfg)):
+            return 'the placement policy says no'
+        return ''
+
+    def _land(self, t, rooms, cfg):
+        pol, best = cfg.policy(t.job.tenant), None
+        for r in rooms:
+            if not r.fits(t) or self.allowed(t, r.m, cfg):
+                continue
+            rate = pol.score(self._world(t, r.m, cfg)) if pol else 0.0
+            key = (r.m.name not in t.avoid, rate, r.slack)
+            if best is None or key > best[0]:
+                best = (key, r)
+        return best[1] if best else None
+
+    def _fit(self, grp, rooms, cfg):
+        out = []
+        for t in grp:
+            r = self._land(t, rooms, cfg)
+            if r is None:
+                for o, q in out:
+                    q.back(o)
+                return None
+            r.take(t)
+            out.append((t, r))
+        return out
+
+    def tick(self):
+        b, cfg = self.b, self.b.config
+        if not self.cell.takes:
+            self.busy = False
+            return
+        if self.busy or cfg is None or b.now < self.due or not self.mac.by[READY]:
+            return
+        # one decision at a time: the next is made on what this one came to
+        self.due = b.now + int(b.set.view.silence_ms * 0.02)
+        at = self.cell.wall
+        rooms = [Room(m) for m in self.mac.minions.values() if m.open and m.zone not in cfg.emptied]
+        bundles, none, n = [], set(), 0
+        for ten, grp, use in self._order(self._bundles(cfg, at), cfg):
+            t = grp[0]
+            shp = (ten, t.job.cls, len(grp), tuple((o.need, tuple(o.zones)) for o in grp))
+            # what found no room a moment ago finds none now: it blocks nobody else
+            if shp in none:
+                continue
+            cap = cfg.tenants[ten].max_cores
+            if use.get(ten, 0) + sum(o.cores for o in grp) > cap:
+                continue
+            got = self._fit(grp, rooms, cfg)
+            if got is None:
+                none.add(shp)
+                continue
+            use[ten] = use.get(ten, 0) + sum(o.cores for o in grp)
+            bundles.append({'items': [{'task': o.key, 'round': o.round + 1, 'minion': r.m.name} for o, r in got]})
+            n += len(grp)
+            if n >= MOST:
+                break
+        if bundles:
+            self._send(bundles, at)
+
+    def _send(self, bundles, at):
+        def done(r):
+            self.busy = False
+            if r is not None:
+                self.b.count['placed'] += len(r[1])
+        doc = {'at': at, 'sequence': self.b.config.sequence, 'bundles': bundles}
+        self.busy = self.cell.order('t_place', doc, done)
+
+    # --- why a task waits
+    def why(self, t):
+        cfg = self.b.config
+        if t.state == WAITING:
+            return 'waits for ' + ', '.join(a for a in t.after if t.job.tasks[a].state != 'done')
+        if t.state != READY:
+            return t.why
+        if cfg is None or t.job.tenant not in cfg.tenants:
+            return 'its tenant is not in the configuration in force'
+        at = self.cell.wall
+        if t.due > at:
+            return f'due in {t.due - at} ms'
+        if not self._rested(t, cfg, at):
+            return f'rests after a failed try; {t.why}'
+        nos = {}
+        for m in self.mac.minions.values():
+            w = self.allowed(t, m, cfg)
+            if not w:
+                w = 'no room now' if not m.fits(t.need) else 'has room'
+                if t.cores > m.cores or t.gpus > m.gpus or t.mem > m.mem:
+                    w = 'too small'
+            nos[w] = nos.get(w, 0) + 1
+        if not nos:
+            return 'no minion is known'
+        return '; '.join(f'{n} minions: {w}' for w, n in sorted(nos.items(), key=lambda r: -r[1]))
--- /dev/null
+++ b/asterwharf/scheduler/policy.py
@@ -0,0 +1,87 @@
+"""Placement policies: CEL programs, compiled once per configuration, judged per class of case. Pure."""
+
+import celpy
+from celpy.adapter import json_to_cel
+from expression import Error, Ok
+
+SIZE = 2000
+NAMES = ('task', 'tenant', 'minion', 'zone', 'victim')
+_ENV = []
+
+
+def _env():
+    # one environment: making it parses CEL's own grammar
+    if not _ENV:
+        _ENV.append(celpy.Environment())
+    return _ENV[0]
+
+
+class Policy:
+    """The three programs of one policy; an empty one means yes, no, nought."""
+
+    __slots__ = ('cache', 'land', 'evict', 'rate', 'troubles')
+
+    def __init__(self, land, evict, rate):
+        self.land, self.evict, self.rate, self.troubles, self.cache = land, evict, rate, 0, {}
+
+    def _run(self, prg, wld, bad):
+        key = (id(prg), repr(wld))
+        if key in self.cache:
+            return self.cache[key]
+        try:
+            out = prg.evaluate({k: json_to_cel(v) for k, v in wld.items()})
+        except Exception:
+            # a policy's trouble means "no" for this candidate, and is counted
+            self.troubles += 1
+            out = bad
+        if len(self.cache) > 20000:
+            self.cache.clear()
+        self.cache[key] = out
+        return out
+
+    def may_land(self, wld):
+        if self.land is None:
+            return True
+        return self._as_bool(self._run(self.land, wld, False))
+
+    def may_evict(self, wld):
+        if self.evict is None:
+            return False
+        return self._as_bool(self._run(self.evict, wld, False))
+
+    def score(self, wld):
+        if self.rate is None:
+            return 0.0
+        try:
+            return float(self._run(self.rate, wld, 0.0))
+        except (TypeError, ValueError):
+            self.troubles += 1
+            return 0.0
+
+    def _as_bool(self, val):
+        if isinstance(val, celpy.celtypes.BoolType):
+            return bool(val)
+        if val is not False:
+            self.troubles += 1
+        return False
+
+
+def _one(nam, src, bad):
+    if not src:
+        return None
+    if len(src) > SIZE:
+        bad.append(f'{nam}: {len(src)} characters are more than {SIZE}')
+        return None
+    try:
+        env = _env()
+        return env.program(env.compile(src))
+    except Exception as e:
+        bad.append(f'{nam}: {str(e).strip().splitlines()[0] if str(e).strip() else type(e).__name__}')
+        return None
+
+
+def compile_policy(prg):
+    """Result of the Policy, or of the mistakes by program."""
+    bad = []
+    got = [_one(k, getattr(prg, k), bad) for k in ('may_land', 'may_evict', 'score')]
+    return Error(bad) if bad else Ok(Policy(*got))
--- /dev/null
+++ b/asterwharf/sim/fleet.py
@@ -0,0 +1,126 @@
+"""A whole simulated fleet: core nodes, edges, agents with their minions, and the observer."""
+
+from dataclasses import replace
+
+from asterwharf.base.settings import Link, Settings, View
+from asterwharf.furrow import node as furrow
+from asterwharf.sim.actors import DOC, Caller
+from asterwharf.sim.minion import SimMinion
+from asterwharf.sim.observer import Observer
+from asterwharf.sim.world import World
+from asterwharf.trellis import node as trellis
+
+# figures a simulated fleet runs with: the ratios hold as in the defaults, the bounds are shorter
+LINK = Link(beat_ms=500, unhealthy_ms=1500, close_ms=3000, grace_ms=6000, base_ms=200, max_ms=2000, auth_ms=1000,
+            register_ms=2000)
+
+
+class Fleet:
+    """Builds and starts; scenarios then do their worst."""
+
+    def __init__(self, seed, core=3, edges=3, minions=6, link=LINK, view=View(), size=(32.0, 8, 1 << 30), token='', **st):
+        self.w = World(seed)
+        self.obs = Observer(lambda: self.w.t)
+        self.obs.wall = lambda: self.w.base + self.w.t
+        self.core = [f't{i}' for i in range(core)]
+        self.edges = [f'e{i}' for i in range(edges)]
+        self.tends = [f'm{i}' for i in range(minions)]
+        self.size, self.mins = size, {}
+        tok = token
+        for i, n in enumerate(self.core):
+            self._host(n, 'trellis', f'z{i % 3 + 1}', link, view, tok, st)
+        for i, n in enumerate(self.edges):
+            self._host(n, 'furrow', f'z{i % 3 + 1}', link, view, tok, st)
+        for i, n in enumerate(self.tends):
+            self._host(n, 'tend', f'z{i % 3 + 1}', link, view, tok, st)
+        self.call = Caller(self.w, self.edges, self.obs)
+
+    def _host(self, n, role, zone, link, view, tok, st):
+        w = self.w
+
+        def build(h, inc, rng, now, wall):
+            s = Settings(name=n, bind=h.addr, seeds=self.seeds, zone=zone, core_size=len(self.core), token=tok,
+                         link=link, view=view, poll_ms=4000)
+            s = replace(s, **st)
+            if role == 'trellis':
+                return trellis.build(s, inc, rng, h.disk.load, now, wall)
+            if role == 'furrow':
+                return furrow.serve(s, inc, rng, now, wall)
+            nod = furrow.tend(s, inc, rng, now, wall, self.size)
+            w.after(0, self.mins[n].greet, h)
+            return nod
+        h = w.add(n, role, build)
+        if role == 'tend':
+            h.minion = self.mins[n] = SimMinion(w, h, self.size, self.obs)
+            self.obs.zones[n] = zone
+
+    @property
+    def seeds(self):
+        return [self.w.hosts[n].addr for n in self.core]
+
+    def start(self):
+        order = self.core + self.edges + self.tends
+        self.w.rng.shuffle(order)
+        for n in order:
+            self.w.after(self.w.rng.randint(0, 800), self.w.start, n)
+        return self
+
+    def ready(self, most=30000):
+        """Founded, configured, every minion registered."""
+        w = self.w
+        ok = w.until(lambda: self.holder('core') and self.holder('commons'), most)
+        self.call.configure(lambda d: DOC)
+        ok = ok and w.until(lambda: len(self.obs.acks) == 1, most)
+        return ok and w.until(lambda: self.up() == len(self.tends) and self.agreed(), most)
+
+    # --- looking from outside, for scenarios only; the observer judges without this
+    def node(self, n):
+        h = self.w.hosts[n]
+        return h.node if h.alive else None
+
+    def chair(self, n, grp):
+        nd = self.node(n)
+        return trellis.chairs(nd)[grp] if nd else None
+
+    def holder(self, grp):
+        got = [n for n in self.core if self.chair(n, grp) and self.chair(n, grp).holds]
+        return max(got, key=lambda n: self.chair(n, grp).seat.view) if got else ''
+
+    def cell(self):
+        n = self.holder('commons')
+        return self.chair(n, 'commons').mac if n else None
+
+    def up(self):
+        c = self.cell()
+        return sum(m.up for m in c.minions.values()) if c else 0
+
+    def agreed(self):
+        """Every living node has the newest acknowledged configuration in force."""
+        seq = max((s for _, s, _, _ in self.obs.acks), default=0)
+        return all(self.seq(n) >= seq for n in self.core + self.edges if self.w.hosts[n].alive)
+
+    def seq(self, n):
+        c = self.node(n).b.config if self.node(n) else None
+        return c.sequence if c else 0
+
+    def crash(self, n):
+        """A machine goes down; a minion's work goes with it."""
+        if n in self.mins:
+            self.mins[n].crash()
+        self.w.kill(n)
+
+    def watch(self, every=200):
+        """Lets the observer look at what time alone can break."""
+        self.obs.look()
+        for n in self.core + self.edges:
+            if self.w.hosts[n].alive:
+                self.obs.in_force(n, self.w.hosts[n].life, self.seq(n))
+        self.w.after(every, self.watch, every)
+
+    def settle(self, most=120000):
+        """All faults over: every kept job must end."""
+        return self.w.until(lambda: not self.obs.unfinished() and not any(self.obs.live.values()), most, 500)
+
+    def trace(self, last=60):
+        rows = [f'{t:>8} {who:<4} {evt} {kws}' for t, who, evt, kws in self.w.log[-last:]]
+        return '\n'.join(rows + [f'BROKEN {t} {r} {k}' for t, r, k in self.obs.broken[:20]])
--- /dev/null
+++ b/asterwharf/sim/world.py
@@ -0,0 +1,361 @@
+"""The simulated world: virtual time, a seeded network, disks that lose what was not synced.
+
+It drives the very node objects that the daemons drive; nothing is mocked but the world.
+"""
+
+import heapq
+import random
+
+from asterwharf.wire import kinds  # noqa: F401
+from asterwharf.wire.schema import pack, unpack
+
+
+class Disk:
+    """What is on one machine's disk; survives a crash, not a wipe."""
+
+    __slots__ = ('inc', 'rows')
+
+    def __init__(self, inc):
+        self.inc, self.rows = inc, {}
+
+    def load(self, grp):
+        g = self.rows.get(grp)
+        if g is None:
+            return {'meta': None, 'log': [], 'rows': {}}
+        return {'meta': g['meta'], 'log': sorted(g['log'].items()), 'rows': dict(g['rows'])}
+
+    def write(self, grp, b):
+        g = self.rows.setdefault(grp, {'meta': None, 'log': {}, 'rows': {}})
+        if b.wipe:
+            g['log'], g['rows'] = {}, {}
+        if b.trim is not None:
+            g['log'] = {o: r for o, r in g['log'].items() if o < b.trim}
+        if b.drop is not None:
+            g['log'] = {o: r for o, r in g['log'].items() if o > b.drop}
+        g['log'].update(b.log)
+        for k, v in b.rows.items():
+            if v is None:
+                g['rows'].pop(k, None)
+            else:
+                g['rows'][k] = v
+        if b.meta is not None:
+            g['meta'] = b.meta
+
+
+class Host:
+    """One simulated process: its node object, its clocks, its disk, its fate."""
+
+    __slots__ = ('addr', 'alive', 'born', 'build', 'disk', 'frozen', 'life', 'minion', 'name', 'node', 'pend', 'role',
+                 'skew', 'slow', 'wall')
+
+    def __init__(self, name, role, addr, build):
+        self.name, self.role, self.addr, self.build = name, role, addr, build
+        self.node, self.alive, self.frozen, self.pend = None, False, False, []
+        self.skew, self.wall, self.slow, self.life, self.minion, self.disk, self.born = 0, 0, 0, 0, None, None, 0
+
+
+class Conn:
+    """A connection: in order, whole, until it breaks."""
+
+    __slots__ = ('a', 'b', 'held', 'id', 'last', 'open', 'stuck')
+
+    def __init__(self, cid, a, b):
+        self.id, self.a, self.b, self.open = cid, a, b, True
+        self.last = {a: 0, b: 0}
+        self.held, self.stuck = {a: [], b: []}, None
+
+    def other(self, n):
+        return self.b if n == self.a else self.a
+
+
+def pair(a, b):
+    return (a, b) if a < b else (b, a)
+
+
+class World:
+    """Hosts, links, cuts and time."""
+
+    def __init__(self, seed, tick=50, base=1_700_000_000_000):
+        self.rng = random.Random(seed)
+        self.t, self.base, self.tickms, self.q, self.n = 0, base, tick, [], 0
+        self.hosts, self.addrs, self.conns, self.cuts = {}, {}, {}, set()
+        self.log, self.count, self.loss, self.dup, self.lag = [], {}, 0.0, 0.0, (1, 4)
+        self.broke = 3000
+
+    # --- time
+    def at(self, t, fn, *args):
+        self.n += 1
+        heapq.heappush(self.q, (t, self.n, fn, args))
+
+    def after(self, ms, fn, *args):
+        self.at(self.t + ms, fn, *args)
+
+    def run(self, until):
+        while self.q and self.q[0][0] <= until:
+            t, _, fn, args = heapq.heappop(self.q)
+            self.t = max(self.t, t)
+            fn(*args)
+        self.t = max(self.t, until)
+
+    def until(self, cond, most, step=100):
+        """Runs until `cond()` or `most` ms more have passed; whether it came true."""
+        end = self.t + most
+        while self.t < end:
+            if cond():
+                return True
+            self.run(min(end, self.t + step))
+        return bool(cond())
+
+    def say(self, who, evt, **kws):
+        self.log.append((self.t, who, evt, kws))
+
+    # --- hosts
+    def add(self, name, role, build):
+        h = self.hosts[name] = Host(name, role, f'10.0.0.{len(self.hosts) + 1}:7000', build)
+        h.skew = self.rng.randrange(10_000_000)
+        h.disk = Disk(self._inc())
+        self.addrs[h.addr] = name
+        return h
+
+    def _inc(self):
+        return f'{self.rng.getrandbits(64):016x}'
+
+    def clocks(self, h):
+        return self.t + h.skew, self.base + self.t + h.wall
+
+    def start(self, name):
+        h = self.hosts[name]
+        h.alive, h.frozen, h.pend, h.born = True, False, [], self.t
+        h.life += 1
+        # only a disk remembers who it was; an edge or an agent is a new incarnation each time
+        inc = h.disk.inc if h.role == 'trellis' else self._inc()
+        h.node = h.build(h, inc, random.Random(self.rng.getrandbits(64)), *self.clocks(h))
+        self.say(name, 'start')
+        self._tick(h, h.life)
+
+    def kill(self, name):
+        h = self.hosts[name]
+        if not h.alive:
+            return
+        h.alive, h.node = False, None
+        self.say(name, 'kill')
+        for c in self.of(name):
+            self._break(c)
+
+    def wipe(self, name):
+        """The disk is lost, with its incarnation; the process must be dead."""
+        h = self.hosts[name]
+        h.disk = Disk(self._inc())
+        self.say(name, 'wipe')
+
+    def freeze(self, name):
+        h = self.hosts[name]
+        if h.alive and not h.frozen:
+            h.frozen = True
+            self.say(name, 'freeze')
+
+    def thaw(self, name):
+        h = self.hosts[name]
+        if not h.alive or not h.frozen:
+            return
+        h.frozen = False
+        self.say(name, 'thaw')
+        pend, h.pend = h.pend, []
+        for fn, args in pend:
+            self._do(h, fn, *args)
+
+    def _do(self, h, fn, *args):
+        """Lets the host's node act now, or when it thaws; carries out what it leaves."""
+        if not h.alive:
+            return
+        if h.frozen:
+            h.pend.append((fn, args))
+            return
+        fn(*args)
+        if h.alive and h.node is not None:
+            self._effects(h)
+
+    def _tick(self, h, life):
+        if h.life != life or not h.alive:
+            return
+        # a frozen process misses its ticks; it does not get them all at once later
+        if not h.frozen:
+            self._do(h, lambda: h.node.tick(*self.clocks(h)))
+        self.after(self.tickms + self.rng.randrange(5), self._tick, h, life)
+
+    def _effects(self, h):
+        out, said = h.node.flush()
+        for lvl, evt, kws in said:
+            self.say(h.name, evt, **kws)
+        for e in out:
+            getattr(self, '_e_' + e[0])(h, *e[1:])
+
+    # --- effects
+    def _e_send(self, h, dst, knd, doc):
+        self.count[knd] = self.count.get(knd, 0) + 1
+        if dst == h.name:
+            raw = pack(knd, doc)
+            return self.after(0, self._deliver, h.life, h, h.name, raw)
+        c = self.link(h.name, dst)
+        if c is None:
+            return
+        if self.loss and self.rng.random() < self.loss:
+            return
+        self._post(c, h.name, pack(knd, doc))
+        if self.dup and self.rng.random() < self.dup:
+            self._post(c, h.name, pack(knd, doc))
+
+    def _post(self, c, src, raw):
+        dst = c.other(src)
+        if (src, dst) in self.cuts:
+            # it lies in the sender's buffer until the cut heals or the connection breaks
+            c.held[src].append(raw)
+            self._stick(c)
+            return
+        at = max(self.t + self.rng.randint(*self.lag), c.last[src])
+        c.last[src] = at
+        self.at(at, self._arrive, c, src, raw)
+
+    def _stick(self, c):
+        if c.stuck is None:
+            c.stuck = self.t
+            self.after(self.broke, self._unstick, c, self.t)
+
+    def _unstick(self, c, since):
+        if c.open and c.stuck == since:
+            self._break(c)
+
+    def _arrive(self, c, src, raw):
+        if not c.open:
+            return
+        h = self.hosts[c.other(src)]
+        self._deliver(h.life, h, src, raw)
+
+    def _deliver(self, life, h, src, raw):
+        if h.life != life:
+            return
+        knd, doc = unpack(raw)
+
+        def act():
+            if src == h.name or src in h.node.b.links:
+                h.node.hear(src, knd, doc, *self.clocks(h))
+        self._do(h, act)
+
+    def _e_write(self, h, grp, bat):
+        dur = self.rng.randint(1, 4) + h.slow
+        beg, life = self.t, h.life
+        self.after(dur, self._synced, h, life, grp, bat, beg)
+
+    def _synced(self, h, life, grp, bat, beg):
+        # what was not synced when the process died is gone
+        if h.life != life or not h.alive:
+            return
+
+        def act():
+            h.disk.write(grp, bat)
+            c = next(x for x in h.node.ctl if getattr(x, 'grp', '') == grp)
+            h.node.b.now, h.node.b.wall = self.clocks(h)
+            c.synced(bat.num, self.t - beg)
+        self._do(h, act)
+
+    def _e_dial(self, h, addr):
+        dst = self.addrs.get(addr)
+        self.after(self.rng.randint(*self.lag), self._dial, h, h.life, addr, dst)
+
+    def _dial(self, h, life, addr, dst):
+        if h.life != life or not h.alive or dst == h.name:
+            return
+        d = self.hosts.get(dst)
+        cut = d is None or (h.name, dst) in self.cuts or (dst, h.name) in self.cuts
+        if cut or not d.alive:
+            wait = 1000 if cut else 0
+            return self.after(wait, self._do, h, self._unreached, h, h.life, addr)
+        if d.frozen:
+            # the kernel takes the connection; its hello comes when the process wakes
+            d.pend.append((self._dial, (h, life, addr, dst)))
+            return
+        if self.link(h.name, dst) is not None:
+            return
+        self.n += 1
+        c = self.conns[pair(h.name, dst)] = Conn(self.n, h.name, dst)
+        self._do(d, self._up, d, h.name, h.node.b.hello(), c)
+        self._do(h, self._up, h, dst, d.node.b.hello(), c)
+
+    def _unreached(self, h, life, addr):
+        if h.life == life:
+            for x in h.node.ctl:
+                if hasattr(x, 'unreached'):
+                    x.unreached(addr)
+
+    def _up(self, h, peer, hello, c):
+        if c.open:
+            h.node.up(peer, hello, *self.clocks(h))
+
+    def _e_hang(self, h, peer):
+        c = self.link(h.name, peer)
+        if c is not None:
+            # what was said before the hanging up still arrives
+            at = max(self.t + 1, c.last[h.name])
+            self.at(at + 1, self._break, c)
+            h.node.lost(peer, *self.clocks(h))
+            self._effects(h)
+
+    def _e_minion(self, h, verb, task, rnd, *more):
+        if h.minion is not None:
+            h.minion.ask(h, verb, task, rnd, *more)
+
+    def tell(self, h, life, what, *args, **kws):
+        """Brings the minion's word to the agent beside it."""
+        if h.life != life or not h.alive:
+            return
+
+        def act():
+            k = next(x for x in h.node.ctl if type(x).__name__ == 'Keeper')
+            h.node.b.now, h.node.b.wall = self.clocks(h)
+            k.minion(what, *args, **kws)
+        self._do(h, act)
+
+    # --- links
+    def of(self, name):
+        return [c for c in self.conns.values() if name in (c.a, c.b)]
+
+    def link(self, a, b):
+        return self.conns.get(pair(a, b))
+
+    def _break(self, c):
+        if not c.open:
+            return
+        c.open = False
+        if self.conns.get(pair(c.a, c.b)) is c:
+            del self.conns[pair(c.a, c.b)]
+        for n in (c.a, c.b):
+            h = self.hosts[n]
+            if h.alive:
+                self._do(h, self._lose, h, h.life, c.other(n))
+
+    def _lose(self, h, life, peer):
+        # a newer connection may stand already
+        if h.life == life and self.link(h.name, peer) is None:
+            h.node.lost(peer, *self.clocks(h))
+
+    def cut(self, a, b, both=True):
+        self.cuts.add((a, b))
+        if both:
+            self.cuts.add((b, a))
+        self.say(a, 'cut', other=b, both=both)
+
+    def part(self, xs, ys):
+        for x in xs:
+            for y in ys:
+                self.cut(x, y)
+
+    def heal(self):
+        self.cuts.clear()
+        self.say('', 'heal')
+        for c in list(self.conns.values()):
+            if c.stuck is not None:
+                c.stuck = None
+                for src in (c.a, c.b):
+                    raws, c.held[src] = c.held[src], []
+                    for r in raws:
+                        self._post(c, src, r)
--- /dev/null
+++ b/asterwharf/view/chair.py
@@ -0,0 +1,92 @@
+"""The controller round a seat: its messages, its batches, and who waits for a delivery. Pure."""
+
+from asterwharf.base.board import Controller
+from asterwharf.view.seat import HOLDER, Seat
+from asterwharf.wire.schema import pack
+
+
+class Chair(Controller):
+    """Sits for this process in one group; other controllers order and read through it."""
+
+    __slots__ = ('grp', 'mac', 'nxt', 'seat', 'then')
+    hears = ('sound', 'sounded', 'canvass', 'backed', 'extend', 'extended', 'snap', 'snapped', 'succeed', 'learn')
+
+    def __init__(self, b, grp, mac, saved):
+        super().__init__(b)
+        self.grp, self.mac, self.then, self.nxt = grp, mac, {}, 0
+        self.seat = Seat(grp, b.me, b.inc, b.set.view, b.rng, mac, saved, b.now)
+
+    def __getattr__(self, nam):
+        # every view message goes to the seat, if it is of our group
+        if not nam.startswith('on_'):
+            raise AttributeError(nam)
+        knd = nam[3:]
+
+        def on(src, doc):
+            if doc['grp'] == self.grp:
+                self.seat.hear(src, knd, doc, self.b.now)
+        return on
+
+    @property
+    def holds(self):
+        """Whether this seat holds, and knows all that was delivered before."""
+        t = self.seat.ten
+        return t is not None and t.ready
+
+    @property
+    def takes(self):
+        return self.holds and self.seat.ten.taking
+
+    @property
+    def wall(self):
+        return self.seat.ten.median_wall() if self.seat.ten else self.b.wall
+
+    def order(self, knd, doc, then=None):
+        """Orders a change; `then` gets (op, result), or None when its fate is not known."""
+        self.nxt += 1
+        if not self.seat.propose(pack(knd, doc), self.nxt):
+            return False
+        self.then[self.nxt] = then
+        return True
+
+    def sure(self, then):
+        """Calls `then(True)` once a majority has confirmed this holder, `then(None)` if it lost the view."""
+        self.nxt += 1
+        if not self.seat.confirm(self.nxt):
+            return False
+        self.then[self.nxt] = then
+        return True
+
+    def found(self, seats):
+        self.seat.found(seats)
+
+    def synced(self, num, took):
+        self.seat.synced(num, took, self.b.now)
+
+    def tick(self):
+        self.seat.peers = {p for p, h in self.b.links.items() if h['role'] == 'trellis'}
+        self.seat.tick(self.b.now, self.b.wall)
+
+    def flush(self):
+        s = self.seat
+        while True:
+            bat, out, dne = s.take()
+            for dst, knd, doc in out:
+                self.b.send(dst, knd, **doc)
+            if bat is not None:
+                self.b.do('write', self.grp, bat)
+            for tok, res in dne:
+                fn = self.then.pop(tok, None)
+                if fn:
+                    fn(res)
+            if not dne:
+                break
+        for old, new, view, why in s.news:
+            self.b.log('info', 'view', group=self.grp, was=old, now=new, view=view, why=why)
+            if new == HOLDER or old == HOLDER:
+                self.b.holders.pop(self.grp, None)
+        s.news = []
+        if s.state == HOLDER:
+            self.b.holders[self.grp] = (self.b.me, s.view)
+        elif s.holder:
+            self.b.holders[self.grp] = (s.holder, s.view)
--- /dev/null
+++ b/asterwharf/wire/frame.py
@@ -0,0 +1,38 @@
+"""Frames on a stream: a length, then one record."""
+
+import struct
+
+from asterwharf.wire import kinds  # noqa: F401  declares the kinds
+from asterwharf.wire.schema import Alien, pack, unpack
+
+LEN = struct.Struct('>I')
+MOST = 64 << 20
+
+
+def frame(knd, doc):
+    raw = pack(knd, doc)
+    return LEN.pack(len(raw)) + raw
+
+
+class Cutter:
+    """Cuts what a stream brings into records."""
+
+    __slots__ = ('buf', 'most')
+
+    def __init__(self, most=MOST):
+        self.buf, self.most = bytearray(), most
+
+    def feed(self, data):
+        """All whole records in `data` and what was left before; Alien on a foreign stream."""
+        self.buf += data
+        out = []
+        while len(self.buf) >= LEN.size:
+            n = LEN.unpack_from(self.buf)[0]
+            if n > self.most:
+                raise Alien(f'a frame of {n} bytes')
+            if len(self.buf) < LEN.size + n:
+                break
+            raw = bytes(self.buf[LEN.size:LEN.size + n])
+            del self.buf[:LEN.size + n]
+            out.append(unpack(raw))
+        return out
--- /dev/null
+++ b/asterwharf/wire/kinds.py
@@ -0,0 +1,81 @@
+"""Declares every kind of record; ids are never used again for another kind."""
+
+from asterwharf.wire.schema import kind
+
+_NODE = {'name': 's', 'role': 's', 'addr': 's', 'zone': 's', 'http': 's', 'inc': 's'}
+_STAMP = {'op': 'l', 'view': 'l'}
+_ROUND = {'task': 's', 'round': 'l'}
+_ENTRY = {'op': 'l', 'view': 'l', 'kind': 's', 'body': 'y'}
+
+# --- meeting
+kind(1, 'hello', dict(_NODE, proto='l', token='s'))
+kind(2, 'roll', {'node': [_NODE], 'empty': 'b', 'inc': 's', 'known': 'S', 'holders': 'j'})
+kind(3, 'pulse', {'sequence': 'l'})
+kind(4, 'suspect', {'name': 's', 'by': 's', 'gone': 'b'})
+# --- replicated groups
+kind(10, 'sound', {'grp': 's', 'view': 'l', 'op': 'l', 'stamp': 'l'})
+kind(11, 'sounded', {'grp': 's', 'view': 'l', 'ok': 'b', 'inc': 's'})
+kind(12, 'canvass', {'grp': 's', 'view': 'l', 'op': 'l', 'stamp': 'l'})
+kind(13, 'backed', {'grp': 's', 'view': 'l', 'ok': 'b', 'inc': 's'})
+kind(14, 'extend', {'grp': 's', 'view': 'l', 'beat': 'l', 'prev': 'l', 'stamp': 'l', 'upto': 'l',
+                    'entries': [_ENTRY]})
+kind(15, 'extended', {'grp': 's', 'view': 'l', 'beat': 'l', 'ok': 'b', 'op': 'l', 'inc': 's', 'wall': 'l',
+                      'slow': 'b'})
+kind(16, 'snap', {'grp': 's', 'view': 'l', 'op': 'l', 'stamp': 'l', 'seats': 'j', 'part': 'l', 'last': 'b',
+                  'rows': [{'k': 's', 'v': 'y'}]})
+kind(17, 'snapped', {'grp': 's', 'view': 'l', 'op': 'l', 'part': 'l'})
+kind(18, 'succeed', {'grp': 's', 'view': 'l'})
+kind(19, 'learn', {'grp': 's', 'inc': 's', 'op': 'l'})
+# --- errands and news
+kind(30, 'errand', {'id': 's', 'grp': 's', 'op': 's', 'args': 'j', 'ttl': 'l', 'hops': 'l'})
+kind(31, 'returned', {'id': 's', 'code': 's', 'body': 'j', 'hint': 's'})
+kind(32, 'ask', {'id': 's', 'sequence': 'l', 'wait': 'l'})
+kind(33, 'news', {'id': 's', 'sequence': 'l', 'doc': 'y', 'ok': 'b', 'hint': 's'})
+# --- the minion link, agent <-> edge <-> holder
+kind(40, 'auth', {'token': 's'})
+kind(41, 'authed', {'ok': 'b'})
+kind(42, 'register', {'minion': 's', 'inc': 's', 'zone': 's', 'cores': 'd', 'gpus': 'l', 'mem': 'l', 'labels': 'j',
+                      'drain': 'b', 'inflight': [_ROUND], 'edge': 's', 'nonce': 'l', 'stamp': 'l', 'sequence': 'l'})
+kind(43, 'ack', {'minion': 's', 'link': 'l', 'nonce': 'l', 'settings': 'j', 'sequence': 'l', 'emptied': 'b', 'ok': 'b', 'why': 's',
+                 'record': [dict(_ROUND, want='s', need='j', run='j')]})
+kind(44, 'beat', {'minion': 's', 'link': 'l', 'n': 'l', 'stamp': 'l'})
+kind(45, 'beaten', {'minion': 's', 'link': 'l', 'n': 'l', 'sequence': 'l', 'emptied': 'b', 'drain': 'b'})
+kind(46, 'order', {'minion': 's', 'link': 'l', 'what': 's', 'task': 's', 'round': 'l', 'need': 'j', 'run': 'j',
+                   'stamp': 'l', 'sequence': 'l'})
+kind(47, 'probe', {'minion': 's', 'link': 'l'})
+kind(48, 'stamped', {'minion': 's', 'link': 'l', 'stamp': 'l'})
+kind(49, 'status', {'minion': 's', 'link': 'l', 'stamp': 'l',
+                    'items': [dict(_ROUND, n='l', what='s', why='s', at='l')]})
+kind(50, 'statused', {'minion': 's', 'link': 'l', 'n': 'S'})
+kind(51, 'tell', {'minion': 's', 'link': 'l', 'lines': [{'what': 's', 'at': 'l', 'text': 's'}]})
+kind(52, 'drain', {'minion': 's', 'link': 'l', 'on': 'b', 'stamp': 'l'})
+kind(53, 'down', {'minion': 's', 'link': 'l', 'why': 's', 'purpose': 'b'})
+kind(54, 'attach', {'edge': 's', 'links': [{'minion': 's', 'link': 'l'}]})
+kind(55, 'detach', {'minion': 's', 'link': 'l', 'why': 's'})
+# --- changes of the core group
+kind(100, 'c_config', {'sequence': 'l', 'base': 'l', 'by': 's', 'at': 'l', 'doc': 'y'})
+kind(101, 'c_node', dict(_NODE, sight='b'))
+# --- changes of a cell group
+kind(120, 't_submit', {'tenant': 's', 'id': 's', 'sum': 's', 'spec': 'j', 'at': 'l'})
+kind(121, 't_cancel', {'tenant': 's', 'id': 's', 'at': 'l'})
+kind(122, 't_place', {'at': 'l', 'sequence': 'l', 'bundles': [{'items': [{'task': 's', 'round': 'l', 'minion': 's'}]}]})
+kind(123, 't_register', {'minion': 's', 'inc': 's', 'edge': 's', 'zone': 's', 'cores': 'd', 'gpus': 'l', 'mem': 'l',
+                         'labels': 'j', 'drain': 'b', 'inflight': [_ROUND], 'at': 'l'})
+kind(124, 't_down', {'minion': 's', 'link': 'l', 'why': 's', 'purpose': 'b', 'at': 'l'})
+kind(125, 't_status', {'minion': 's', 'link': 'l', 'at': 'l', 'items': [dict(_ROUND, n='l', what='s', why='s', at='l')]})
+kind(126, 't_expire', {'at': 'l', 'items': [_ROUND]})
+kind(127, 't_drain', {'minion': 's', 'on': 'b', 'by': 's', 'at': 'l'})
+kind(128, 't_config', {'sequence': 'l', 'emptied': 'S', 'at': 'l'})
+kind(129, 't_evict', {'at': 'l', 'why': 's', 'items': [_ROUND]})
+kind(130, 't_gone', {'minion': 's', 'at': 'l'})
+kind(131, 't_forget', {'keys': 'S'})
+# --- rows on disk
+_TASK = {'name': 's', 'state': 's', 'round': 'l', 'used': 'l', 'tries': 'l', 'minion': 's', 'after': 'S', 'due': 'l',
+         'cores': 'd', 'gpus': 'l', 'mem': 'l', 'gang': 's', 'run': 'j', 'why': 's', 'pre': 's', 'want': 's',
+         'boot': 's', 'hold': 'l', 'avoid': 'S', 'hist': 'S', 'start': 'l', 'end': 'l', 'zones': 'S'}
+kind(140, 'r_job', {'tenant': 's', 'id': 's', 'sum': 's', 'cls': 's', 'at': 'l', 'end': 'l', 'fate': 's', 'why': 's',
+                    'tasks': [_TASK]})
+kind(141, 'r_minion', {'name': 's', 'inc': 's', 'edge': 's', 'zone': 's', 'link': 'l', 'up': 'b', 'drain': 'b',
+                       'opdrain': 'b', 'cores': 'd', 'gpus': 'l', 'mem': 'l', 'labels': 'j', 'why': 's', 'at': 'l',
+                       'strays': [dict(_ROUND, cores='d', gpus='l', mem='l')]})
+kind(142, 'r_meta', {'sequence': 'l', 'emptied': 'S', 'gone': 'S'})
