--- a/asterwharf/base/logs.py
+++ b/asterwharf/base/logs.py
@@ -5,7 +5,7 @@
 import sys
 import time
 
-from absl import logging
+from absl import flags, logging
 
 LEVELS = {'debug': logging.DEBUG, 'info': logging.INFO, 'warning': logging.WARNING, 'error': logging.ERROR}
 
@@ -27,6 +27,9 @@
 
 
 def setup(who, level):
+    # absl wants its own flags parsed before it logs in peace; ours are read elsewhere
+    if not flags.FLAGS.is_parsed():
+        flags.FLAGS([who])
     hnd = logging.get_absl_handler()
     hnd.setFormatter(Lines(who))
     logging.use_absl_handler()
--- a/asterwharf/base/settings.py
+++ b/asterwharf/base/settings.py
@@ -55,6 +55,9 @@
     http: str = ''
     data: str = ''
     minion: str = ''
+    cores: float = 1.0
+    gpus: int = 0
+    mem: int = 1073741824
     core_size: int = 3
     token: str = ''
     log_level: str = 'info'
@@ -84,7 +87,7 @@
 
 def _judge(s):
     bad = []
-    for k in ('bind', 'http'):
+    for k in ('bind', 'http', 'minion'):
         v = getattr(s, k)
         # agents and core nodes need no HTTP door
         if (v or k == 'bind') and address(v) is None:
@@ -97,7 +100,7 @@
     for o, p in ((s, ''), (s.link, 'link.'), (s.view, 'view.')):
         for f in fields(o):
             v = getattr(o, f.name)
-            if isinstance(v, (int, float)) and v <= 0:
+            if isinstance(v, (int, float)) and v <= 0 and f.name != 'gpus':
                 bad.append(f'{p}{f.name}: must be above zero')
     l = s.link
     # the fence: an agent must have stopped its work before anyone may start it anew
--- /dev/null
+++ b/asterwharf/door/routes.py
@@ -0,0 +1,127 @@
+"""The paths of the door; docs/http.md describes each."""
+
+from asterwharf.base.codes import trouble
+from asterwharf.scheduler.jobs import NAME
+
+
+class Route:
+    """One method on one path: an errand to a holder, or something this node knows itself."""
+
+    __slots__ = ('body', 'grp', 'here', 'method', 'op', 'open', 'parts', 'prepare')
+
+    def __init__(self, method, path, grp='', op='', body=False, prepare=None, here=None, open=False):
+        self.method, self.parts = method, path.strip('/').split('/')
+        self.grp, self.op, self.body, self.prepare, self.here, self.open = grp, op, body, prepare, here, open
+
+
+def _names(e):
+    """Names in the path must be names."""
+    bad = [f'{k}: {e.args[k]!r} is not a name' for k in ('tenant', 'id', 'minion') if k in e.args
+           and not NAME.match(e.args[k])]
+    return trouble('bad_field', *bad) if bad else None
+
+
+def _submit(e):
+    bad = _names(e)
+    e.args['spec'] = e.doc
+    return bad
+
+
+def _seq(txt):
+    txt = (txt or '').strip().strip('"')
+    return int(txt) if txt.isdigit() and len(txt) < 16 else None
+
+
+def _config_put(e):
+    raw = e.heads.get('If-Match')
+    if raw is None:
+        return trouble('need_match', 'If-Match: missing')
+    seq = _seq(raw)
+    if seq is None:
+        return trouble('bad_field', f'If-Match: {raw!r} is not a sequence')
+    e.args.update(config=e.doc, base=seq, by=e.heads.get('X-Operator', '')[:64])
+    return None
+
+
+def _config_get(e):
+    seq = _seq(e.heads.get('If-None-Match'))
+    if seq is not None:
+        e.args['known'] = seq
+
+
+def _listing(e):
+    raw = e.query.get('most', '200')
+    if not raw.isdigit() or not 1 <= int(raw) <= 5000:
+        return trouble('bad_field', f'most: {raw!r} is not between 1 and 5000')
+    e.args.update(tenant=e.query.get('tenant', ''), state=e.query.get('state', ''), most=int(raw))
+    return None
+
+
+def _on(e):
+    e.args['on'] = e.method == 'PUT'
+    return _names(e)
+
+
+# --- what this node knows itself
+def _fitness(app, e):
+    why = app.fit()
+    return ('not_ready' if why else 'ok'), {'ready': not why, 'details': [why] if why else []}
+
+
+def _status(app, e):
+    b = app.b
+    out = {'node': b.me, 'role': b.role, 'zone': b.zone, 'inc': b.inc, 'leaving': b.leaving,
+           'sequence': b.config.sequence if b.config else 0, 'fit': app.fit() == '',
+           'holders': {g: {'name': n, 'view': v} for g, (n, v) in b.holders.items()},
+           'links': sorted(b.links), 'errands': len(app.ferry.trips), 'counts': dict(sorted(b.count.items()))}
+    for c in app.node.ctl:
+        if hasattr(c, 'teths'):
+            out['minions'] = {t.peer: {'state': t.state, 'link_round': t.link, 'tasks': len(t.rounds)}
+                              for t in c.teths.values()}
+        if hasattr(c, 'sight'):
+            out['out_of_sight'] = sorted(n for n, v in c.sight.items() if v)
+    return 'ok', out
+
+
+def _lines(app, e):
+    for c in app.node.ctl:
+        if hasattr(c, 'teths'):
+            got = c.lines.get(e.args['minion'])
+            return ('ok', {'lines': list(got)}) if got is not None else ('unknown_minion', {})
+    return 'unknown_minion', {}
+
+
+JOB = '/v1/tenants/:tenant/jobs/:id'
+ROUTES = (
+    Route('GET', '/fitness', here=_fitness, open=True),
+    Route('GET', '/status', here=_status, open=True),
+    Route('GET', '/v1/config', 'core', 'config_get', prepare=_config_get),
+    Route('PUT', '/v1/config', 'core', 'config_put', body=True, prepare=_config_put),
+    Route('GET', '/v1/nodes', 'core', 'nodes'),
+    Route('GET', '/v1/seats', 'core', 'seats'),
+    Route('PUT', JOB, 'commons', 'submit', body=True, prepare=_submit),
+    Route('GET', JOB, 'commons', 'job', prepare=_names),
+    Route('DELETE', JOB, 'commons', 'cancel', prepare=_names),
+    Route('GET', JOB + '/why', 'commons', 'why', prepare=_names),
+    Route('GET', '/v1/jobs', 'commons', 'jobs', prepare=_listing),
+    Route('GET', '/v1/minions', 'commons', 'minions'),
+    Route('GET', '/v1/claims', 'commons', 'claims'),
+    Route('PUT', '/v1/minions/:minion/drain', 'commons', 'drain', prepare=_on),
+    Route('DELETE', '/v1/minions/:minion/drain', 'commons', 'drain', prepare=_on),
+    Route('DELETE', '/v1/minions/:minion', 'commons', 'gone', prepare=_names),
+    Route('GET', '/v1/minions/:minion/lines', here=_lines),
+)
+
+
+def match(method, parts):
+    """(route, arguments, other methods of the path)."""
+    oth = []
+    for r in ROUTES:
+        if len(r.parts) != len(parts):
+            continue
+        if any(not (p.startswith(':') and q) and p != q for p, q in zip(r.parts, parts)):
+            continue
+        if r.method == method:
+            return r, {p[1:]: q for p, q in zip(r.parts, parts) if p.startswith(':')}, []
+        oth.append(r.method)
+    return None, {}, oth
--- /dev/null
+++ b/asterwharf/furrow/main.py
@@ -0,0 +1,43 @@
+"""`furrow`: the data plane. `furrow serve` on edge machines, `furrow tend` beside each minion."""
+
+from asterwharf.base.command import settle
+from asterwharf.clock.boot import boot_ms, wall_ms
+from asterwharf.furrow import node
+from asterwharf.wire.daemon import Daemon, rng, run
+
+
+def serve(st, path, over, cuts):
+    from asterwharf.base import logs
+    from asterwharf.base.settings import address
+    from asterwharf.disk.store import Store
+    from asterwharf.door.app import App
+    from asterwharf.door.http import Door
+    sto = Store('')
+    dmn = Daemon(node.serve(st, sto.inc, rng(), boot_ms(), wall_ms()), sto, over=over, path=path, cuts=cuts)
+    if st.http:
+        dmn.parts.append(Door(address(st.http), App(dmn)).register(dmn))
+    logs.say('info', 'started', role='furrow serve', bind=st.bind, http=st.http, zone=st.zone)
+    return run(dmn)
+
+
+def tend(st, path, over, cuts):
+    from asterwharf.base import logs
+    from asterwharf.disk.store import Store
+    from asterwharf.furrow.dialect import Dialect
+    from asterwharf.link.keeper import Keeper
+    if not st.minion:
+        print('minion: missing; `furrow tend` needs the address of its minion')
+        return 2
+    sto = Store('')
+    nod = node.tend(st, sto.inc, rng(), boot_ms(), wall_ms(), (st.cores, st.gpus, st.mem))
+    dmn = Daemon(nod, sto, over=over, path=path, cuts=cuts)
+    dmn.parts.append(Dialect(dmn, nod.find(Keeper), st.minion).register(dmn))
+    logs.say('info', 'started', role='furrow tend', bind=st.bind, minion=st.minion, zone=st.zone)
+    return run(dmn)
+
+
+def main():
+    app = settle('furrow', 'The data plane of asterwharf.', {'serve': 'An edge: the door for callers and operators.',
+                                                             'tend': 'The agent beside one minion.'},
+                 {'serve': serve, 'tend': tend})
+    app()
--- a/asterwharf/link/keeper.py
+++ b/asterwharf/link/keeper.py
@@ -30,14 +30,14 @@
 class Keeper(Controller):
     """Refuses older rounds, stale orders and what does not fit; tells endings until they are delivered."""
 
-    __slots__ = ('agent', 'boot', 'drain', 'heard', 'holds', 'n', 'opdrain', 'outbox', 'size', 'told', 'tombs')
+    __slots__ = ('absent', 'agent', 'boot', 'drain', 'holds', 'n', 'opdrain', 'outbox', 'size', 'told', 'tombs')
     hears = ('order', 'statused')
 
     def __init__(self, b, agent, size):
         super().__init__(b)
         self.agent, agent.keeper = agent, self
         self.size, self.holds, self.tombs, self.outbox, self.told = size, {}, {}, {}, {}
-        self.n, self.drain, self.opdrain, self.boot, self.heard = 0, False, False, '', b.now
+        self.n, self.drain, self.opdrain, self.boot, self.absent = 0, False, False, '', 0
 
     def room(self):
         return {'cores': float(self.size[0]), 'gpus': int(self.size[1]), 'mem': int(self.size[2])}
@@ -121,6 +121,8 @@
             return 'tenure is over'
         if self.drain or self.opdrain:
             return 'draining'
+        if self.absent:
+            return 'the minion is absent'
         if d['sequence'] < a.sequence:
             return 'older configuration'
         if a.emptied and d['sequence'] == a.sequence:
@@ -170,10 +172,14 @@
                 if h.state != STOPPING and not h.keep:
                     b.count['fenced'] += 1
                     self._halt(h, 'fenced')
+        # nobody listens where the minion was, for a whole tenure: its work went with it
+        gone = self.absent and b.now - self.absent > a.terms['tenure_ms']
         for h in list(self.holds.values()):
-            if h.state == STOPPING and b.now >= h.due:
+            if gone:
+                self.end(h, 'lost', 'the minion is absent')
+            elif h.state == STOPPING and b.now >= h.due:
                 self._halt(h, h.why)
-            # a start nobody answered: stopped first, told afterwards
+            # adopted from before the minion began anew
             elif h.boot and self.boot and h.boot != self.boot and h.state == RUNNING:
                 self.end(h, 'lost', 'the minion began anew')
         if self.drain and not self.holds and not self.outbox and a.state == REGISTERED:
@@ -182,7 +188,10 @@
     # --- what the minion says
     def minion(self, what, task='', rnd=0, **kws):
         """One entry for all news from the minion's adapter."""
-        self.heard = self.b.now
+        if what == 'absent':
+            self.absent = self.absent or self.b.now
+            return
+        self.absent = 0
         if what == 'boot':
             self._booted(kws['boot'])
         elif what == 'drain':
--- /dev/null
+++ b/asterwharf/sim/__main__.py
@@ -0,0 +1,56 @@
+"""`python -m asterwharf.sim`: replay one seed, or sweep many."""
+
+import multiprocessing
+import sys
+import time
+
+from cyclopts import App
+
+from asterwharf.sim import scenarios
+
+app = App(name='asterwharf.sim', help='The seeded simulator.', help_format='plaintext')
+
+
+@app.command
+def run(name: str, *, seed: int = 1, trace: bool = False):
+    """Replays one scenario from one seed; a trace where it fails or is asked for."""
+    r = scenarios.run(name, seed)
+    print(r.text())
+    if trace:
+        print(r.fleet.trace(4000))
+    sys.exit(0 if r.ok else 1)
+
+
+def _one(job):
+    try:
+        r = scenarios.run(*job)
+        return job, r.why, r.fleet.obs.count, r.fleet.w.t
+    except Exception as e:
+        return job, [f'{type(e).__name__}: {e}'], {}, 0
+
+
+@app.command
+def sweep(*names: str, seeds: int = 20, first: int = 1, workers: int = 8):
+    """Runs scenarios (all without names) over many seeds and lists what failed."""
+    jobs = [(n, s) for s in range(first, first + seeds) for n in names or scenarios.ALL]
+    beg, bad, tot = time.time(), [], {}
+    with multiprocessing.Pool(workers) as p:
+        for job, why, cnt, _ in p.imap_unordered(_one, jobs):
+            for k, v in cnt.items():
+                tot[k] = tot.get(k, 0) + v
+            if why:
+                bad.append((job, why))
+                print(f'FAILED {job[0]} --seed {job[1]}: {"; ".join(why)}', flush=True)
+    print(f'{len(jobs)} runs, {len(bad)} failed, {tot}, {time.time() - beg:.0f} s')
+    sys.exit(1 if bad else 0)
+
+
+@app.command(name='list')
+def list_():
+    """The scenarios."""
+    for n, (f, _) in scenarios.ALL.items():
+        print(f'{n:16} {f.__doc__}')
+
+
+if __name__ == '__main__':
+    app()
--- /dev/null
+++ b/asterwharf/wire/daemon.py
@@ -0,0 +1,275 @@
+"""The world of one process: sockets, the disk, the clocks and the signals, on one circuits loop.
+
+It carries out the effects of the node object; the simulator does the same in virtual time.
+"""
+
+import os
+import random
+import signal as sigs
+import sys
+
+from circuits import BaseComponent, handler
+from circuits.core.pollers import EPoll
+from circuits.net.sockets import TCPServer
+
+from asterwharf.base import logs, settings
+from asterwharf.clock.boot import boot_ms, wall_ms
+from asterwharf.wire.links import Leg, Side
+
+TICK = 0.02
+SLOWEST = 100
+
+
+class Daemon(BaseComponent):
+    """Drives one node object; a turn of the loop ends with one flush and at most one sync."""
+
+    channel = 'wire'
+
+    def init(self, node, store, over=None, path='', cuts=''):
+        self.node, self.store, self.b = node, store, node.b
+        self.conns, self.peers, self.legs, self.again, self.dialled = {}, {}, {}, True, set()
+        self.over, self.path, self.cuts, self.cut = over or {}, path, cuts, (0, frozenset())
+        st = self.b.set
+        self.tick_ms = max(10, min(SLOWEST, int(st.view.silence_ms * TICK)))
+        if node.b.role != 'trellis':
+            self.tick_ms = min(SLOWEST, self.tick_ms * 2)
+        self.due, self.code, self.end, self.parts = boot_ms(), 0, 0, []
+        EPoll().register(self)
+        self.srv = TCPServer(settings.address(st.bind), bufsize=1 << 18, channel='wire').register(self)
+
+    # --- turns
+    @handler('generate_events', channel='*', priority=10)
+    def _turn(self, event):
+        now = boot_ms()
+        if now >= self.due:
+            self._filter()
+            self.node.tick(now, wall_ms())
+            self.due, self.again = now + self.tick_ms, True
+            if self.b.leaving:
+                self._leave(now)
+        if self.again:
+            self._settle()
+        event.reduce_time_left(max(0.0, (self.due - boot_ms()) / 1000))
+
+    def _settle(self):
+        self.again = False
+        while True:
+            out, said = self.node.flush()
+            for lvl, evt, kws in said:
+                logs.say(lvl, evt, **kws)
+            if not out:
+                return
+            bats = []
+            for e in out:
+                if e[0] == 'send':
+                    self._send(*e[1:])
+                elif e[0] == 'write':
+                    bats.append(e[1:])
+                else:
+                    self._carry(*e)
+            # what was said goes to the kernel before the sync that may hold us up
+            for c in list(self.peers.values()):
+                c.push()
+            if bats:
+                self._sync(bats)
+
+    def _sync(self, bats):
+        beg = boot_ms()
+        self.store.write(bats)
+        took = boot_ms() - beg
+        self.b.count['syncs'] += 1
+        self.b.count['sync_ms'] += took
+        self.b.now, self.b.wall = boot_ms(), wall_ms()
+        for c in self.node.ctl:
+            for g, b in bats:
+                if getattr(c, 'grp', None) == g and hasattr(c, 'synced'):
+                    c.synced(b.num, took)
+
+    def _carry(self, what, *args):
+        if what == 'dial':
+            return self.dial(*args)
+        if what == 'hang':
+            return self.hang(*args)
+        for p in self.parts:
+            if p.takes == what:
+                return p.carry(*args)
+
+    def wake(self):
+        """Something outside the wire has changed the node: flush at the end of this turn."""
+        self.again = True
+
+    # --- messages
+    def _send(self, dst, knd, doc):
+        if dst == self.b.me:
+            self.node.hear(dst, knd, doc, boot_ms(), wall_ms())
+            return
+        c = self.peers.get(dst)
+        if c is not None:
+            c.add(knd, doc)
+
+    def heard(self, c, recs):
+        """Records from connection `c`; the first must be a hello."""
+        for knd, doc in recs:
+            if c.peer is None:
+                if knd != 'hello':
+                    return self.drop(c, 'no hello')
+                if not self._greet(c, doc):
+                    return
+                continue
+            if c.peer in self.b.links:
+                self.node.hear(c.peer, knd, doc, boot_ms(), wall_ms())
+        self.again = True
+
+    def _greet(self, c, doc):
+        nam = doc['name']
+        if nam == self.b.me or nam in self.cut[1]:
+            self.drop(c, 'ourselves' if nam == self.b.me else 'cut')
+            return False
+        c.peer = nam
+        old = self.peers.get(nam)
+        if old is not None and old is not c:
+            # both ends must keep the same one of two: the one dialled by the lesser name
+            keep = old if (old.out == (self.b.me < nam)) and doc['inc'] == self.b.links[nam]['inc'] else c
+            lose = c if keep is old else old
+            if keep is old:
+                c.peer = None
+                self.drop(lose, 'second connection')
+                return False
+            old.peer = None
+            self.drop(old, 'replaced')
+            if self.b.links[nam]['inc'] != doc['inc']:
+                self.node.lost(nam, boot_ms(), wall_ms())
+        self.peers[nam] = c
+        c.patience(self.b.set.view.silence_ms * 3)
+        if nam not in self.b.links:
+            self.node.up(nam, doc, boot_ms(), wall_ms())
+        return True
+
+    def gone(self, c):
+        """A connection has closed."""
+        self.conns.pop(c.key, None)
+        if c.peer is not None and self.peers.get(c.peer) is c:
+            del self.peers[c.peer]
+            self.node.lost(c.peer, boot_ms(), wall_ms())
+        self.again = True
+
+    def drop(self, c, why):
+        if why not in ('second connection', 'replaced', 'hung up', 'ourselves'):
+            logs.say('warning', 'connection dropped', peer=c.peer, why=why)
+        c.close()
+        self.gone(c)
+
+    def hang(self, peer):
+        c = self.peers.get(peer)
+        if c is not None:
+            c.push()
+            self.drop(c, 'hung up')
+
+    # --- connections
+    def dial(self, addr):
+        if addr in self.dialled or settings.address(addr) is None:
+            return
+        self.dialled.add(addr)
+        Leg(self, addr).register(self)
+
+    def undialled(self, addr, ok):
+        self.dialled.discard(addr)
+        if not ok:
+            for c in self.node.ctl:
+                if hasattr(c, 'unreached'):
+                    c.unreached(addr)
+            self.again = True
+
+    @handler('connect')
+    def _on_connect(self, sock, host, port):
+        c = self.conns[sock] = Side(self, sock)
+        c.hello()
+
+    @handler('read')
+    def _on_read(self, sock, data):
+        c = self.conns.get(sock)
+        if c is not None:
+            c.read(data)
+
+    @handler('disconnect')
+    def _on_disconnect(self, sock):
+        c = self.conns.get(sock)
+        if c is not None:
+            self.gone(c)
+
+    @handler('error')
+    def _on_error(self, *args):
+        # a reset or refused socket is told by its disconnect; here it is only counted
+        self.b.count['socket.errors'] += 1
+
+    @handler('exception', channel='*')
+    def _on_exception(self, typ, val, trace, handler=None, fevent=None):
+        # a fault of ours must be seen, and a half-done change of state must not be acted on
+        logs.say('error', 'alarm', alarm='inner_fault', code=500, fault=f'{typ.__name__}: {val}', trace=trace,
+                 event=str(fevent)[:200])
+        if typ is not None and issubclass(typ, AssertionError):
+            os._exit(70)
+
+    # --- a link filter for tests: names of peers to be cut off from, one a line
+    def _filter(self):
+        if not self.cuts:
+            return
+        try:
+            at = os.stat(self.cuts).st_mtime_ns
+            if at == self.cut[0]:
+                return
+            with open(self.cuts) as f:
+                self.cut = (at, frozenset(f.read().split()))
+        except OSError:
+            self.cut = (0, frozenset())
+        for n, c in list(self.peers.items()):
+            c.cut(n in self.cut[1])
+
+    # --- signals
+    @handler('signal', channel='*')
+    def _on_signal(self, event, signo, stack):
+        event.stop()
+        if signo == sigs.SIGHUP:
+            return self.reread()
+        if self.b.leaving:
+            return self.stop_now(0)
+        # fitness turns false first, duties and open errands are seen to, then we go
+        self.b.leaving, self.end = True, boot_ms() + self.b.set.leave_ms
+        logs.say('info', 'leaving')
+
+    def _leave(self, now):
+        done = all(p.idle() for p in self.parts) and self.idle()
+        if done or now >= self.end:
+            self.stop_now(0)
+
+    def idle(self):
+        return True
+
+    def stop_now(self, code):
+        self._settle()
+        logs.say('info', 'left', counts=dict(self.b.count))
+        self.code = code
+        self.store.close()
+        sys.stderr.flush()
+        os._exit(code)
+
+    def reread(self):
+        """SIGHUP: the safe part of the settings file; a bad file is refused and the old one kept."""
+        res = settings.load(self.path, self.over)
+        if res.is_error():
+            return logs.say('error', 'alarm', alarm='bad_settings', code=213, details=res.error)
+        self.b.set, left = settings.reread(self.b.set, res.ok)
+        logs.setup(self.b.me, self.b.set.log_level)
+        logs.say('info', 'settings reread', needs_restart=left)
+
+
+def run(daemon):
+    """Runs the loop until a signal ends it."""
+    sigs.signal(sigs.SIGHUP, daemon._signal_handler)
+    sigs.signal(sigs.SIGPIPE, sigs.SIG_IGN)
+    daemon.run()
+    return daemon.code
+
+
+def rng():
+    return random.Random(os.urandom(16))
--- /dev/null
+++ b/asterwharf/wire/links.py
@@ -0,0 +1,134 @@
+"""The two sorts of connection a daemon has: one it accepted, one it dialled."""
+
+from socket import IPPROTO_TCP, TCP_NODELAY
+
+from circuits import BaseComponent, handler
+from circuits.net.events import connect
+
+from asterwharf.base import logs, settings
+from asterwharf.clock.boot import boot_ms
+from asterwharf.wire.frame import Cutter, frame
+from asterwharf.wire.schema import Alien
+from asterwharf.wire.tcp import USER_TIMEOUT, Dialer
+
+
+class Link:
+    """What both sorts share: frames out in one piece a turn, records in, the test filter."""
+
+    out = False
+
+    def setup(self, dmn, key):
+        self.dmn, self.key, self.peer, self.cutter = dmn, key, None, Cutter()
+        self.buf, self.cut_at, self.held = [], 0, []
+
+    def hello(self):
+        self.add('hello', self.dmn.b.hello())
+        self.push()
+
+    def add(self, knd, doc):
+        self.buf.append(frame(knd, doc))
+
+    def push(self):
+        if self.buf and not self.cut_at:
+            raw, self.buf = b''.join(self.buf), []
+            self.raw(raw)
+        elif self.cut_at and boot_ms() - self.cut_at > self.dmn.b.set.view.silence_ms * 3:
+            self.dmn.drop(self, 'cut for long')
+
+    def read(self, data):
+        if self.cut_at:
+            return self.held.append(data)
+        try:
+            recs = self.cutter.feed(data)
+        except Alien as e:
+            # a foreign or broken stream: its number, its end, and nothing changed
+            logs.say('warning', 'bad frame', code=212, peer=self.peer, why=str(e))
+            self.dmn.b.count['frames.alien'] += 1
+            return self.dmn.drop(self, 'bad frame')
+        self.dmn.heard(self, recs)
+
+    def cut(self, on):
+        if on and not self.cut_at:
+            self.cut_at = boot_ms()
+        elif not on and self.cut_at:
+            self.cut_at = 0
+            held, self.held = b''.join(self.held), []
+            if held:
+                self.read(held)
+
+
+class Side(Link):
+    """A connection that was accepted."""
+
+    def __init__(self, dmn, sock):
+        self.setup(dmn, sock)
+        self.sock = sock
+        sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+
+    def raw(self, data):
+        s = self.dmn.srv
+        if self.sock not in s._clients:
+            return
+        s.write(self.sock, data)
+        # straight to the kernel: the loop's own write would wait for another turn
+        s._on_write(self.sock)
+
+    def patience(self, ms):
+        self.sock.setsockopt(IPPROTO_TCP, USER_TIMEOUT, ms)
+
+    def close(self):
+        self.dmn.srv.close(self.sock)
+
+
+class Leg(Link, BaseComponent):
+    """A connection that we dial."""
+
+    out = True
+    nums = 0
+
+    def __init__(self, dmn, addr):
+        Leg.nums += 1
+        BaseComponent.__init__(self, channel=f'leg{Leg.nums}')
+        self.setup(dmn, self)
+        self.addr, self.open = addr, False
+        self.tcp = Dialer(channel=self.channel, bufsize=1 << 18).register(self)
+
+    @handler('ready')
+    def _on_ready(self, *args):
+        self.fire(connect(*settings.address(self.addr)))
+
+    @handler('connected')
+    def _on_connected(self, *args):
+        self.open = True
+        self.dmn.undialled(self.addr, True)
+        self.hello()
+
+    @handler('unreachable')
+    def _on_unreachable(self, *args):
+        self.dmn.undialled(self.addr, False)
+        self.unregister()
+
+    @handler('read')
+    def _on_read(self, data):
+        self.read(data)
+
+    @handler('disconnected')
+    def _on_disconnected(self):
+        if self.open:
+            self.open = False
+            self.dmn.gone(self)
+        self.unregister()
+
+    @handler('error')
+    def _on_error(self, *args):
+        self.dmn.b.count['socket.errors'] += 1
+
+    def raw(self, data):
+        self.tcp.push(data)
+
+    def patience(self, ms):
+        self.tcp.patience(ms)
+
+    def close(self):
+        self.open = False
+        self.tcp.close()
