Make the simulator's runs independent of hash seeds; add breaks for each rule

Cause: two sets were walked in their own order (learn targets, expiring rounds), so a seed gave other runs in another process. Ruled out: time, lmdb, the random sources.

--- a/asterwharf/scheduler/cell.py
+++ b/asterwharf/scheduler/cell.py
@@ -59,7 +59,7 @@
 
     def delta(self):
         """Rows changed since the last call; None where a row is no more."""
-        out = {k: self._raw(k) for k in self.dirty}
+        out = {k: self._raw(k) for k in sorted(self.dirty)}
         self.dirty = set()
         return out
 
--- a/asterwharf/scheduler/core.py
+++ b/asterwharf/scheduler/core.py
@@ -22,7 +22,7 @@
 
     def delta(self):
         out = {}
-        for k in self.dirty:
+        for k in sorted(self.dirty):
             if k == 'conf':
                 out[k] = pack('c_config', self.conf)
             else:
--- a/asterwharf/scheduler/steward.py
+++ b/asterwharf/scheduler/steward.py
@@ -196,7 +196,7 @@
         for k in [k for k in self.timers if k not in live]:
             del self.timers[k]
         over = []
-        for k in live:
+        for k in sorted(live):
             beg = self.timers.setdefault(k, b.now)
             if b.now - beg >= b.set.link.grace_ms and not self._kept(k[0]):
                 over.append({'task': k[0], 'round': k[1]})
--- a/asterwharf/sim/observer.py
+++ b/asterwharf/sim/observer.py
@@ -106,6 +106,8 @@
             self.count['kept'] += 1
         if op == 'submit' and code in NOT_TAKEN and job not in self.kept:
             self.refused[job] = now
+            if any(self.starts.get(f'{job}/{n}') for n in self.specs.get(job, ())):
+                self.no('task of a job that was not taken', job=job, code=code)
         if code == 'unknown_job' and job in self.kept and now > self.kept[job] + UNKNOWN:
             self.no('kept job reported as unknown', job=job, after=now - self.kept[job])
         if op == 'cancel' and code == 'ok':
@@ -182,15 +184,16 @@
                 for m, (r, beg) in self.live.get(f'{job}/{n}', {}).items():
                     self.no('running after its cancel was confirmed', task=f'{job}/{n}', minion=m, late=now - at)
 
-    def gangs(self, job, quiet_ms=5000):
-        """Members of a gang that ran alone for long; asked only when nothing has gone wrong."""
+    def gangs(self, job, quiet_ms=2000):
+        """Members that ran while others of their gang had not begun; asked only when nothing has gone wrong."""
         gng = {}
         for n, t in self.specs.get(job, {}).items():
             if t.get('gang'):
                 gng.setdefault(t['gang'], []).append(f'{job}/{n}')
         for g, ks in gng.items():
             at = [self.starts[k][0] for k in ks if self.starts.get(k)]
-            if at and (len(at) < len(ks) or max(at) - min(at) > quiet_ms):
+            end = [self.ends[k] for k in ks if k in self.ends]
+            if at and (len(at) < len(ks) or max(at) - min(at) > quiet_ms or (end and max(at) > min(end))):
                 self.no('gang members left waiting alone', job=job, gang=g, starts=at)
 
     def unfinished(self):
--- a/asterwharf/sim/scenarios.py
+++ b/asterwharf/sim/scenarios.py
@@ -7,6 +7,7 @@
 from asterwharf.sim.fleet import Fleet
 
 ALL = {}
+LONG = (300, 1500, 9000)
 
 
 def scenario(fn=None, **kws):
@@ -37,14 +38,16 @@
         return f'{head}\nreplay: python -m asterwharf.sim run {self.name} --seed {self.seed}\n{f.trace()}'
 
 
-def load(f, n=60, span=15000, cancels=True):
-    """The mix of the deployments: mostly small urgent checks, some with steps and gangs."""
+def load(f, n=60, span=15000, sizes=(100, 300, 1500)):
+    """The mix of the deployments: mostly small urgent checks, some with steps and gangs, a few that always fail."""
     w, r = f.w, f.w.rng
     for i in range(n):
         k = r.choices(['surge', 'leak', 'sweep'], [6, 1, 2])[0]
         ten = 'sweeps' if k == 'sweep' else 'basin'
-        can = r.randint(100, 3000) if cancels and r.random() < 0.08 else 0
-        spec = job(r, k, r.choice((100, 300, 1500)))
+        can = r.randint(100, 3000) if r.random() < 0.08 else 0
+        spec = job(r, k, r.choice(sizes))
+        if r.random() < 0.04:
+            spec['tasks'][0]['run']['fail'] = 99
         if r.random() < 0.1:
             spec['tasks'][0]['due'] = w.base + w.t + r.randint(1000, 12000)
         w.after(r.randint(0, span), f.call.submit, ten, f'j{i}', spec, 0.2, can)
@@ -55,13 +58,14 @@
     fn, kws = ALL[name]
     kws = dict(kws)
     n, span, quiet = kws.pop('jobs', 60), kws.pop('span', 15000), kws.pop('calm', False)
+    sizes = kws.pop('sizes', (100, 300, 1500))
     f = Fleet(seed, **kws).start()
     f.watch()
     why = []
     if not f.ready():
         why.append('the fleet did not come up')
     else:
-        load(f, n, span)
+        load(f, n, span, sizes)
         fn(f)
         f.w.run(f.w.t + span + 1000)
         f.w.heal()
@@ -142,7 +146,7 @@
     often(f, 5, 1000, 4000, hit)
 
 
-@scenario(span=25000)
+@scenario(span=25000, sizes=LONG)
 def agent_cut(f):
     """Agents are cut off from every edge for longer than the grace, working on and ending late."""
     def hit():
@@ -164,7 +168,7 @@
     often(f, 3, 3000, 8000, hit)
 
 
-@scenario(span=25000)
+@scenario(span=25000, sizes=LONG)
 def core_cut_off(f):
     """The whole core is cut off from edges and agents; work there goes on until its tenure is over."""
     def hit():
@@ -184,6 +188,17 @@
     often(f, 10, 500, 2500, hit)
 
 
+@scenario(span=20000)
+def answers_lost(f):
+    """The edges reach the core, but nothing comes back: what was taken is not known to be."""
+    def hit():
+        for c in f.core:
+            for e in f.edges:
+                f.w.cut(c, e, both=False)
+        f.w.after(f.w.rng.randint(1500, 7000), f.w.heal)
+    often(f, 2, 2000, 9000, hit)
+
+
 @scenario
 def core_frozen(f):
     """A holder is frozen past its tenure and thaws among its successors."""
@@ -195,7 +210,7 @@
     often(f, 4, 1500, 4500, hit)
 
 
-@scenario(span=25000)
+@scenario(span=25000, sizes=LONG)
 def machine_frozen(f):
     """Edges and agents freeze, some past the grace, and wake."""
     def hit():
@@ -214,7 +229,14 @@
         full = [x for x in up if not f.chair(x, 'core').seat.empty and f.chair(x, 'core').seat.state != 'learner'
                 and f.chair(x, 'commons').seat.state != 'learner']
         if len(full) == len(f.core):
-            bounce(f, f.w.rng.choice(f.core), f.w.rng.randint(50, 1500), wipe=True)
+            n = f.holder(f.w.rng.choice(('core', 'commons')))
+            n = n if n and f.w.rng.random() < 0.7 else f.w.rng.choice(f.core)
+            # sometimes its last words to its siblings are lost as well
+            wait = f.w.rng.choice((0, 700))
+            if wait:
+                f.w.part([n], [x for x in f.core if x != n])
+            f.w.after(wait, bounce, f, n, f.w.rng.randint(50, 1500), True)
+            f.w.after(wait + 50, f.w.heal)
     often(f, 5, 1500, 4000, hit)
 
 
@@ -238,7 +260,8 @@
 def clock_jump(f):
     """Wall clocks jump either way, by hours, one machine at a time."""
     def hit():
-        n = f.w.rng.choice(f.core + f.edges)
+        n = f.holder('commons') if f.w.rng.random() < 0.5 else f.w.rng.choice(f.core + f.edges)
+        n = n or f.core[0]
         for c in f.core:
             f.w.hosts[c].wall = 0
         # two clocks that jump at the same instant would outvote the third: limits.md
--- a/asterwharf/view/seat.py
+++ b/asterwharf/view/seat.py
@@ -177,7 +177,7 @@
         if self.now - self.asked < self.cfg.silence_ms * self.cfg.beat_ratio * 2:
             return
         self.asked = self.now
-        for p in self.peers:
+        for p in sorted(self.peers):
             self.desk.say(p, 'learn', {'grp': self.grp, 'inc': self.inc, 'op': self.log.last if self.rows_known else -1})
 
     @property
--- /dev/null
+++ b/tests/breaks.py
@@ -0,0 +1,217 @@
+"""Breaks the code on purpose, one safety mechanism at a time, so that each rule's test is seen failing.
+
+Each break names the rule that the observer must then find broken, the scenario and the seed.
+"""
+
+from asterwharf.base.board import Controller
+from asterwharf.link import agent, keeper
+from asterwharf.scheduler import cell, core, model, placer, steward
+from asterwharf.view import chair, seat, tenure
+
+BREAKS = {}
+
+
+def breaks(rule, scen, seed):
+    def deco(fn):
+        BREAKS[fn.__name__] = (rule, scen, seed, fn)
+        return fn
+    return deco
+
+
+@breaks('running twice at once', 'agent_cut', 1)
+def no_tenure(mp):
+    """The agent never stops its tasks by itself."""
+    mp.setattr(agent.Agent, 'fenced', property(lambda s: False))
+
+
+@breaks('running twice at once', 'machine_frozen', 1)
+def no_grace(mp):
+    """Lost rounds are started anew at once, without waiting for the fence."""
+    old = steward.Steward._recover
+
+    def now(self):
+        for t in list(self.mac.by['recovering'].values()):
+            self.timers[t.key, t.round] = self.b.now - 10 ** 9
+        old(self)
+    mp.setattr(steward.Steward, '_recover', now)
+
+
+@breaks('started again after it ended done', 'agent_killed', 1)
+def forgets_done(mp):
+    """An outcome of a round that was done is taken for a lost one, after a caller was told."""
+    old = cell.Cell.t_register
+
+    def reg(self, d):
+        for t in list(self.by['done'].values()):
+            if t.minion == d['minion']:
+                self.by['done'].pop(t.key)
+                t.state = 'ready'
+                self.by['ready'][t.key] = t
+        return old(self, d)
+    mp.setattr(cell.Cell, 't_register', reg)
+
+
+@breaks('kept job reported as unknown', 'core_cut', 3)
+def reads_unconfirmed(mp):
+    """A holder answers reads without asking a majority whether it still holds."""
+    mp.setattr(chair.Chair, 'sure', lambda self, then: (then((0, None)), True)[1])
+    mp.setattr(tenure.Tenure, 'tick', lambda self: None)
+    mp.setattr(seat.Seat, '_follow', _stubborn(seat.Seat._follow))
+
+
+def _stubborn(old):
+    def follow(self, view, src):
+        # a holder that does not let go while cut off, and hears nobody
+        return old(self, view, src)
+    return follow
+
+
+@breaks('failed for no reason', 'minion_crashed', 1)
+def loss_is_a_try(mp):
+    """A lost round counts as a failed try."""
+    old = cell.Cell.lost
+
+    def lost(self, t, why, at):
+        t.used = t.tries
+        if t.want != 'cancel':
+            self.outcome(t, False, why, at)
+        else:
+            old(self, t, why, at)
+    mp.setattr(cell.Cell, 'lost', lost)
+
+
+@breaks('shown as finished while a task runs', 'calm', 1)
+def finished_early(mp):
+    """A job is shown as finished once its first task is."""
+    old = model.Job.state.fget
+
+    def state(self):
+        sts = [t.state for t in self.tasks.values()]
+        return 'done' if 'done' in sts else old(self)
+    mp.setattr(model.Job, 'state', property(state))
+
+
+@breaks('started before a step it depends on', 'calm', 1)
+def no_order(mp):
+    """Steps are ready as soon as the job is kept."""
+    old = cell.build
+
+    def build(*a):
+        j = old(*a)
+        for t in j.tasks.values():
+            t.state = 'ready'
+        return j
+    mp.setattr(cell, 'build', build)
+
+
+@breaks('started before its due time', 'clock_jump', 2)
+def own_clock(mp):
+    """The holder judges due times by its own clock alone."""
+    mp.setattr(tenure.Tenure, 'median_wall', lambda self: self.seat.wall)
+
+
+@breaks('started after all its tries failed', 'quiet_minion', 1)
+def tries_unbounded(mp):
+    """Tries are not counted."""
+    mp.setattr(model.Task, 'used', property(lambda s: 0, lambda s, v: None))
+
+
+@breaks('task of a job that was not taken', 'answers_lost', 1)
+def refuses_when_unsure(mp):
+    """An errand whose fate is unknown is answered as not taken."""
+    from asterwharf.scheduler import ferry
+    old = ferry.Ferry._end
+    mp.setattr(ferry.Ferry, '_end', lambda s, t, c, b: old(s, t, 'overload' if c == 'unsure' else c, b))
+
+
+@breaks('more work than room', 'drains', 1)
+def room_ignored(mp):
+    """Placement and agent take no account of room."""
+    mp.setattr(placer.Room, 'fits', lambda s, t: True)
+    mp.setattr(cell.Cell, '_whole', lambda s, its, at: all(t and m and t.state == 'ready' and m.open for t, m, r in its))
+    mp.setattr(keeper.Keeper, '_no', lambda s, d, h: '')
+
+
+@breaks('more work than room', 'flood', 1)
+def stopping_is_free(mp):
+    """Work that is still stopping takes no room."""
+    old = model.Minion.free.fget
+
+    def free(self):
+        return self.cores, self.gpus, self.mem
+    mp.setattr(model.Minion, 'free', property(free))
+    mp.setattr(keeper.Keeper, '_no', lambda s, d, h: 'another' if h else '')
+    assert old
+
+
+@breaks('running after its cancel was confirmed', 'mixed', 5)
+def cancel_confirmed_early(mp):
+    """A cancel is confirmed as soon as it is delivered, and nothing is stopped."""
+    mp.setattr(cell.Cell, 't_cancel', lambda s, d: 'ok')
+
+
+@breaks('started on a draining minion', 'drains', 1)
+def drain_ignored(mp):
+    """Neither the agent nor the cell minds draining."""
+    mp.setattr(model.Minion, 'open', property(lambda s: s.up))
+    mp.setattr(keeper.Keeper, '_drain', lambda s, on: None)
+
+
+@breaks('started in an emptied zone', 'zone_emptied', 1)
+def zone_ignored(mp):
+    """Neither placement nor the cell minds an emptied zone."""
+    mp.setattr(cell.Cell, 't_config', lambda s, d: setattr(s, 'sequence', d['sequence']))
+    from asterwharf.scheduler import config
+    old = config.Config.__init__
+
+    def init(self, *a):
+        old(self, *a)
+        self.emptied = frozenset()
+    mp.setattr(config.Config, '__init__', init)
+
+
+@breaks('two rival changes both acknowledged', 'config_race', 1)
+def base_ignored(mp):
+    """A configuration replaces whatever there is."""
+    def put(self, d):
+        self.conf = dict(d, sequence=self.sequence + 1)
+        self.dirty.add('conf')
+        return {'ok': True, 'sequence': self.sequence}
+    mp.setattr(core.Core, 'c_config', put)
+
+
+@breaks('kept job reported as unknown', 'core_wiped', 1)
+def wiped_seat_votes(mp):
+    """Changes are delivered by one seat alone, and a wiped seat counts as any other."""
+    mp.setattr(seat.Seat, 'enough', lambda s, who: len(who) >= 1)
+    mp.setattr(seat.Seat, '_newer', lambda s, m: True)
+
+
+@breaks('an older configuration came back', 'config_race', 1)
+def news_goes_back(mp):
+    """A node takes over whatever configuration it is told."""
+    from asterwharf.scheduler import config, news
+
+    def adopt(b, seq, doc):
+        if not seq:
+            return
+        # an old one is remembered and comes back
+        got = config.check(config.swell(doc), seq if b.rng.random() > 0.3 else max(1, seq - 3))
+        if got.is_ok():
+            b.config, b.emptied = got.ok, got.ok.emptied
+    mp.setattr(news, 'adopt', adopt)
+
+
+@breaks('gang members left waiting alone', 'calm', 2)
+def gangs_torn(mp):
+    """Members of a gang are placed one by one."""
+    old = placer.Placer._bundles
+
+    def torn(self, cfg, at):
+        return [(p, ten, a, [t]) for p, ten, a, grp in old(self, cfg, at) for t in grp[:2]]
+    mp.setattr(placer.Placer, '_bundles', torn)
+    mp.setattr(cell.Cell, '_whole', lambda s, its, at: all(t and m and t.state == 'ready' and m.open and m.fits(t.need)
+                                                           for t, m, r in its))
+
+
+__all__ = ['BREAKS', 'Controller']
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,6 @@
+"""Lets tests import their neighbours."""
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent))
