--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,21 @@
+"""Every fault of the brief, from a fixed seed: no rule broken, every kept job ends."""
+
+import pytest
+
+from asterwharf.sim import scenarios
+
+SEED = 11
+
+
+@pytest.mark.parametrize('name', scenarios.ALL)
+def test_scenario(name):
+    r = scenarios.run(name, SEED)
+    assert r.ok, r.text()
+    # a run in which nothing happened proves nothing
+    assert r.fleet.obs.count['kept'] >= 10 and r.fleet.obs.count['done'] >= 10
+
+
+def test_a_failing_seed_says_how_to_replay_it(monkeypatch):
+    monkeypatch.setattr(scenarios.Fleet, 'settle', lambda f, most=0: False)
+    txt = scenarios.run('calm', 1).text()
+    assert 'replay: python -m asterwharf.sim run calm --seed 1' in txt and 'founded' in txt
