--- a/asterwharf/fleet/callers.py
+++ b/asterwharf/fleet/callers.py
@@ -24,7 +24,7 @@
     channel = 'callers'
 
     def init(self, doors, mix, secs, seed=1, scale=1.0, token=''):
-        self.doors, self.rng, self.scale = list(doors), random.Random(seed), scale
+        self.doors, self.rng, self.scale, self.seed = list(doors), random.Random(seed), scale, seed
         self.asks, self.told, self.heads = Asks().register(self), [], [('Authorization', f'Bearer {token}')] if token else []
         self.beg, self.n, self.todo, self.final, self.kept, self.specs = boot_ms(), 0, [], {}, {}, {}
         self.first, self.span, self.count, self.rest = {}, secs * 1000, {}, boot_ms() + secs * 1000
@@ -90,7 +90,7 @@
     # --- one job's life
     def _new(self, kind, ten):
         self.n += 1
-        key, r = (ten, f'{kind}{self.n}'), self.rng
+        key, r = (ten, f'{kind}-{self.seed}-{self.n}'), self.rng
         spec = job(r, kind, r.choice((100, 300, 800)))
         if r.random() < 0.08:
             spec['tasks'][0]['due'] = wall_ms() + r.randint(500, 4000)
--- a/asterwharf/scheduler/cell.py
+++ b/asterwharf/scheduler/cell.py
@@ -217,6 +217,9 @@
         self.note(t, why)
         if t.state == STOPPING and t.want == 'cancel':
             return self.move(t, CANCELLED, why, at)
+        if t.used >= t.tries:
+            # its tries were used up by failures told late, while this round still ran
+            return self.spent(t, at)
         self.move(t, READY, why, at)
         self.regroup(t, 'a member was lost', at)
 
@@ -245,6 +248,10 @@
         if t.used < t.tries:
             self.move(t, READY, f'failed: {why}', at)
             return self.regroup(t, 'a member failed', at)
+        self.spent(t, at, why)
+
+    def spent(self, t, at, why='told late'):
+        """Its last try has failed, and its job with it."""
         self.move(t, FAILED, f'all {t.tries} tries failed: {why}', at)
         if not t.job.fate:
             self._doom(t.job, FAILED, f'{t.name}: {t.why}', at)
--- a/asterwharf/scheduler/claims.py
+++ b/asterwharf/scheduler/claims.py
@@ -1,6 +1,6 @@
 """Claims: which node holds each minion, and which round of each task runs there. Pure."""
 
-from asterwharf.scheduler.model import PLACED, READY, RECOVERING, RUNNING, STOPPING, Minion
+from asterwharf.scheduler.model import FINAL, PLACED, READY, RECOVERING, RUNNING, STOPPING, Minion
 
 # what an agent may tell of a round; all but the first end it
 ENDS = frozenset(('done', 'failed', 'stopped', 'refused', 'lost', 'fenced'))
@@ -116,11 +116,22 @@
         if t.round != i['round'] or t.minion != m.name or t.state not in (PLACED, RUNNING, RECOVERING, STOPPING):
             # a late outcome of an older round is history, never applied
             if i['what'] in ENDS and t.round != i['round']:
-                t.hist = (t.hist + [f"{i['round']}@{m.name}: {i['what']}, late"])[-8:]
-                self.dirty.add(f'job:{t.job.key}')
+                self._late(m, t, i)
             return
         self._tell(m, link, t, i)
 
+    def _late(self, m, t, i):
+        txt = f"{i['round']}@{m.name}: {i['what']}, late"
+        if txt in t.hist:
+            return
+        t.hist = (t.hist + [txt])[-8:]
+        self.dirty.add(f'job:{t.job.key}')
+        # a late success decides nothing, but a try that really failed is a try used up: the rule goes first
+        if i['what'] == 'failed' and t.state not in FINAL:
+            t.used += 1
+            if t.used >= t.tries and t.state == READY:
+                self.spent(t, i['at'])
+
     def _tell(self, m, link, t, i):
         wht, at = i['what'], i['at']
         if wht == 'started':
@@ -139,4 +150,4 @@
         self.lost(t, f"{wht}: {i['why']}" if i['why'] else wht, at)
 
 
-__all__ = ['Claims', 'ENDS', 'READY']
+__all__ = ['Claims', 'ENDS']
--- a/asterwharf/view/seat.py
+++ b/asterwharf/view/seat.py
@@ -49,7 +49,7 @@
         for _, raw in sav['log']:
             e = Entry.read(raw)
             if e.op > self.log.cut_op:
-                self.log.add(e)
+                self.log.add(e, kept=True)
         # what was delivered is known only from the rows; the rest waits for a holder
         self.upto = self.log.rows_op
         if self.seated:
--- a/asterwharf/wire/daemon.py
+++ b/asterwharf/wire/daemon.py
@@ -45,12 +45,18 @@
             self._filter()
             self.node.tick(now, wall_ms())
             self.due, self.again = now + self.tick_ms, True
+            self._sweep(now)
             if self.b.leaving:
                 self._leave(now)
         if self.again:
             self._settle()
         event.reduce_time_left(max(0.0, (self.due - boot_ms()) / 1000))
 
+    def _sweep(self, now):
+        # a connection that never greets is not one of ours
+        for c in [c for c in self.conns.values() if c.peer is None and now - c.born > self.b.set.link.auth_ms]:
+            self.drop(c, 'no hello in time')
+
     def _settle(self):
         self.again = False
         while True:
--- a/asterwharf/wire/links.py
+++ b/asterwharf/wire/links.py
@@ -19,7 +19,7 @@
 
     def setup(self, dmn, key):
         self.dmn, self.key, self.peer, self.cutter = dmn, key, None, Cutter()
-        self.buf, self.cut_at, self.held = [], 0, []
+        self.buf, self.cut_at, self.held, self.born = [], 0, [], boot_ms()
 
     def hello(self):
         self.add('hello', self.dmn.b.hello())
