--- a/asterwharf/scheduler/claims.py
+++ b/asterwharf/scheduler/claims.py
@@ -121,9 +121,11 @@
         self._tell(m, link, t, i)
 
     def _late(self, m, t, i):
-        txt = f"{i['round']}@{m.name}: {i['what']}, late"
-        if txt in t.hist:
+        txt = f"{i['round']}@{m.name}: {i['what']}"
+        # told again: its first telling was counted already
+        if any(h.startswith(txt) for h in t.hist):
             return
+        txt += ', late'
         t.hist = (t.hist + [txt])[-8:]
         self.dirty.add(f'job:{t.job.key}')
         # a late success decides nothing, but a try that really failed is a try used up: the rule goes first
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -167,6 +167,7 @@
     do('t_place', at=5, bundles=[{'items': [{'task': 't/j/x', 'round': 2, 'minion': 'b'}]}])
     do('t_status', minion='a', link=1, items=[{'task': 't/j/x', 'round': 1, 'n': 1, 'what': 'failed', 'why': '', 'at': 6}])
     do('t_status', minion='a', link=1, items=[{'task': 't/j/x', 'round': 1, 'n': 2, 'what': 'done', 'why': '', 'at': 6}])
+    do('t_status', minion='a', link=1, items=[{'task': 't/j/x', 'round': 1, 'n': 1, 'what': 'failed', 'why': '', 'at': 6}])
     t = c.tasks['t/j/x']
     # a late failure is a try used up; a late success decides nothing
     assert t.state == 'placed' and t.minion == 'b' and t.used == 1 and any('late' in h for h in t.hist)
