--- a/asterwharf/trellis/node.py
+++ b/asterwharf/trellis/node.py
@@ -7,6 +7,7 @@
 from asterwharf.scheduler.clerk import Clerk
 from asterwharf.scheduler.core import Core
 from asterwharf.scheduler.ferry import Ferry
+from asterwharf.scheduler.janitor import Janitor
 from asterwharf.scheduler.news import Crier
 from asterwharf.scheduler.placer import Placer
 from asterwharf.scheduler.steward import Steward
@@ -22,7 +23,7 @@
     cell = Chair(b, 'commons', Cell(), load('commons'))
     plc = Placer(b, cell)
     return Node(b, [core, cell, Meet(b, [core, cell]), Watch(b), Crier(b, core), Steward(b, cell), plc,
-                    Clerk(b, core, cell, plc), Ferry(b)])
+                    Janitor(b, cell), Clerk(b, core, cell, plc), Ferry(b)])
 
 
 def chairs(node):
