--- a/asterwharf/base/board.py
+++ b/asterwharf/base/board.py
@@ -10,7 +10,7 @@
 class Board:
     """What the controllers of one process share."""
 
-    __slots__ = ('config', 'count', 'emptied', 'holders', 'inc', 'leaving', 'links', 'me', 'nodes', 'now', 'out',
+    __slots__ = ('adopt', 'atlas', 'cells', 'config', 'count', 'load', 'node', 'proto', 'emptied', 'holders', 'inc', 'leaving', 'links', 'me', 'nodes', 'now', 'out',
                  'rng', 'role', 'said', 'set', 'stale', 'wall', 'zone')
 
     def __init__(self, st, role, inc, rng, now=0, wall=0):
@@ -20,6 +20,8 @@
         self.nodes, self.links, self.holders = {}, {}, {}
         self.config, self.emptied, self.leaving, self.stale = None, frozenset(), False, False
         self.count = Counter()
+        # the cell directory's copy, the cells that have a seat here, how to load what a group had synced
+        self.atlas, self.cells, self.load, self.node, self.proto, self.adopt = None, {}, None, None, 2, None
 
     def send(self, dst, knd, **doc):
         self.out.append(('send', dst, knd, doc))
@@ -34,7 +36,7 @@
     def hello(self):
         s = self.set
         return {'name': self.me, 'role': self.role, 'addr': s.bind, 'zone': self.zone, 'http': s.http,
-                'inc': self.inc, 'proto': 1, 'token': s.token}
+                'inc': self.inc, 'proto': self.proto, 'token': s.token}
 
     def row(self):
         h = self.hello()
@@ -72,10 +74,19 @@
     __slots__ = ('b', 'by', 'ctl', 'last')
 
     def __init__(self, b, ctl):
-        self.b, self.ctl, self.by, self.last = b, ctl, {}, b.now
+        self.b, self.ctl, self.by, self.last, b.node = b, [], {}, b.now, self
         for c in ctl:
-            for k in c.hears:
-                self.by.setdefault(k, []).append(c)
+            self.add(c)
+
+    def add(self, c):
+        self.ctl = self.ctl + [c]
+        for k in c.hears:
+            self.by[k] = self.by.get(k, ()) + (c,)
+
+    def remove(self, c):
+        self.ctl = [x for x in self.ctl if x is not c]
+        for k in c.hears:
+            self.by[k] = tuple(x for x in self.by[k] if x is not c)
 
     def _at(self, now, wall):
         b = self.b
--- a/asterwharf/base/codes.py
+++ b/asterwharf/base/codes.py
@@ -59,6 +59,7 @@
 _c(403, 'leaving', 503, 'This process is leaving.', 'Use another edge.')
 _c(404, 'tenant_full', 503, "The tenant's buffer is full.", 'Come again after Retry-After.')
 _c(405, 'not_ready', 503, 'This process is not ready yet.', 'Come again after Retry-After.')
+_c(406, 'moving', 503, 'The tenant is on its way to another cell.', 'Come again after Retry-After.')
 _c(500, 'inner', 500, 'A fault of ours; nothing was changed by this process.', 'Report it with the log line.')
 _c(501, 'corrupt', 500, 'The data folder is corrupt.', 'See the runbook "disk wiped".')
 _c(502, 'policy_trouble', 500, 'A placement policy failed while judging.', 'The candidate counts as "no"; correct the policy.')
--- a/asterwharf/disk/store.py
+++ b/asterwharf/disk/store.py
@@ -30,7 +30,7 @@
             return
         os.makedirs(path, exist_ok=True)
         try:
-            self.env = lmdb.open(path, max_dbs=64, map_size=1 << 32, metasync=True, sync=True)
+            self.env = lmdb.open(path, max_dbs=512, map_size=1 << 32, metasync=True, sync=True)
             self.inc = self._born()
         except lmdb.Error as e:
             raise Corrupt(f'{path}: {e}') from None
--- a/asterwharf/door/app.py
+++ b/asterwharf/door/app.py
@@ -171,14 +171,17 @@
         b = self.b
         if b.leaving:
             return 'leaving'
-        for g in ('core', 'commons'):
-            n = b.holders.get(g, ('', 0))[0]
-            if not n:
-                return f'no holder of {g} is known'
-            if n != b.me and n not in b.links:
-                return f'the holder of {g} is out of reach'
+        # in a cut-off cell an edge that reaches the cell's holder has callers to serve
+        own = [g for g, p in b.cells.items()] + [c['gid'] for n, c in b.atlas.cells.items()
+                                                 if b.config and n in b.config.cells and b.zone in b.config.cells[n].zones]
+        if not any(self._near(g) for g in ['commons', *own]):
+            return 'no holder of a cell is in reach'
         return ''
 
+    def _near(self, grp):
+        n = self.b.holders.get(grp, ('', 0))[0]
+        return n == self.b.me or n in self.b.links
+
     def idle(self):
         """While leaving: whether every caller has been seen to."""
         now = boot_ms()
--- a/asterwharf/furrow/main.py
+++ b/asterwharf/furrow/main.py
@@ -3,17 +3,30 @@
 from asterwharf.base.command import settle
 from asterwharf.clock.boot import boot_ms, wall_ms
 from asterwharf.furrow import node
+from asterwharf.view.chair import leave
 from asterwharf.wire.daemon import Daemon, rng, run
 
 
+class Edge(Daemon):
+    """An edge, with the seats that cells may have given it."""
+
+    def idle(self):
+        return leave(self.node)
+
+
 def serve(st, path, over, cuts):
     from asterwharf.base import logs
     from asterwharf.base.settings import address
-    from asterwharf.disk.store import Store
+    from asterwharf.disk.store import Corrupt, Store
     from asterwharf.door.app import App
     from asterwharf.door.http import Door
-    sto = Store('')
-    dmn = Daemon(node.serve(st, sto.inc, rng(), boot_ms(), wall_ms()), sto, over=over, path=path, cuts=cuts)
+    try:
+        # an edge may have a small disk, for the cells it has a seat in
+        sto = Store(st.data)
+    except Corrupt as e:
+        logs.say('error', 'alarm', alarm='corrupt', code=501, why=str(e))
+        return 5
+    dmn = Edge(node.serve(st, sto.inc, rng(), sto.load, boot_ms(), wall_ms()), sto, over=over, path=path, cuts=cuts)
     if st.http:
         dmn.parts.append(Door(address(st.http), App(dmn)).register(dmn))
     logs.say('info', 'started', role='furrow serve', bind=st.bind, http=st.http, zone=st.zone)
--- a/asterwharf/furrow/node.py
+++ b/asterwharf/furrow/node.py
@@ -4,15 +4,20 @@
 from asterwharf.link.agent import Agent
 from asterwharf.link.edge import Hub
 from asterwharf.link.keeper import Keeper
+from asterwharf.mend.mender import Mender
 from asterwharf.ring.meet import Meet
 from asterwharf.ring.watch import Watch
+from asterwharf.scheduler.atlas import Atlas
+from asterwharf.scheduler.clerk import Clerk
 from asterwharf.scheduler.ferry import Ferry
+from asterwharf.scheduler.garden import Garden
 from asterwharf.scheduler.news import Asker
 
 
-def serve(st, inc, rng, now, wall):
+def serve(st, inc, rng, load, now, wall):
     b = Board(st, 'furrow', inc, rng, now, wall)
-    return Node(b, [Meet(b), Watch(b), Asker(b), Hub(b), Ferry(b)])
+    b.atlas, b.load = Atlas(), load
+    return Node(b, [Meet(b), Watch(b), Asker(b), Garden(b), Mender(b), Hub(b), Clerk(b), Ferry(b)])
 
 
 def tend(st, inc, rng, now, wall, size):
--- a/asterwharf/link/edge.py
+++ b/asterwharf/link/edge.py
@@ -6,7 +6,6 @@
 
 AUTHENTICATING, REGISTERING, REGISTERED, CLOSED = 'authenticating', 'registering', 'registered', 'closed'
 STEPS = {AUTHENTICATING: {REGISTERING, CLOSED}, REGISTERING: {REGISTERED, CLOSED}, REGISTERED: {CLOSED}, CLOSED: set()}
-CELL = 'commons'
 
 
 class Tether:
@@ -35,15 +34,21 @@
         super().__init__(b)
         self.teths, self.seen, self.lines = {}, None, {}
 
-    @property
-    def holder(self):
-        n = self.b.holders.get(CELL, ('', 0))[0]
-        return n if n in self.b.links else ''
+    def group(self, nam):
+        """The cell that owns this minion now."""
+        t, b = self.teths.get(nam), self.b
+        zone = t.reg['zone'] if t and t.reg else b.links.get(nam, {}).get('zone', '')
+        return b.atlas.minion(nam, zone, b.config)
+
+    def holder(self, nam):
+        n = self.b.holders.get(self.group(nam), ('', 0))[0]
+        # a cell may have its holder on this very node
+        return n if n in self.b.links or n == self.b.me else ''
 
     def up(self, peer):
         b = self.b
         h = b.links[peer]
-        if h['role'] == 'trellis':
+        if h['role'] != 'tend':
             return self._attach(peer)
         if h['role'] == 'tend':
             self.teths[peer] = Tether(peer, AUTHENTICATING if b.set.token else REGISTERING, b.now)
@@ -57,8 +62,9 @@
         t.turn(CLOSED, self.b.now)
 
     def _down(self, t, why):
-        if self.holder:
-            self.b.send(self.holder, 'down', minion=t.peer, link=t.link, why=why, purpose=False)
+        hld = self.holder(t.peer)
+        if hld:
+            self.b.send(hld, 'down', minion=t.peer, link=t.link, why=why, purpose=False)
 
     def _close(self, t, why):
         b = self.b
@@ -86,16 +92,18 @@
         self._pass_reg(t)
 
     def _pass_reg(self, t):
-        if self.holder and self.b.now - t.sent > self.b.set.view.silence_ms:
+        hld = self.holder(t.peer)
+        if hld and self.b.now - t.sent > self.b.set.view.silence_ms // 2:
             t.sent = self.b.now
-            self.b.send(self.holder, 'register', **t.reg)
+            self.b.send(hld, 'register', **t.reg)
 
     def _up(self, src, knd, d):
         t = self.teths.get(src)
         if t is None or t.state != REGISTERED or d['minion'] != src or d['link'] != t.link:
             return
-        if self.holder:
-            self.b.send(self.holder, knd, **d)
+        hld = self.holder(src)
+        if hld:
+            self.b.send(hld, knd, **d)
 
     def on_beat(self, src, d):
         self._up(src, 'beat', d)
@@ -163,17 +171,21 @@
 
     # --- time
     def _attach(self, peer):
-        lst = [{'minion': t.peer, 'link': t.link} for t in self.teths.values() if t.state == REGISTERED]
-        if peer == self.b.holders.get(CELL, ('', 0))[0]:
-            self.b.send(peer, 'attach', edge=self.b.me, links=lst)
+        """Tells a holder which links of its minions are here."""
+        b = self.b
+        if any(n == peer for n, _ in b.holders.values()):
+            lst = [{'minion': t.peer, 'link': t.link} for t in self.teths.values()
+                   if t.state == REGISTERED and self.holder(t.peer) == peer]
+            b.send(peer, 'attach', edge=b.me, links=lst)
 
     def tick(self):
         b, l = self.b, self.b.set.link
-        now = b.holders.get(CELL)
+        now = dict(b.holders)
         # a new holder learns at once which links are here
-        if now != self.seen and self.holder:
-            self.seen = now
-            self._attach(now[0])
+        if now != self.seen:
+            old, self.seen = self.seen or {}, now
+            for n in sorted({v[0] for g, v in now.items() if old.get(g) != v and g != 'core'}):
+                self._attach(n)
         for t in list(self.teths.values()):
             if t.state == AUTHENTICATING and b.now - t.at > l.auth_ms:
                 self._close(t, 'no auth in time')
--- a/asterwharf/ring/meet.py
+++ b/asterwharf/ring/meet.py
@@ -26,9 +26,11 @@
     def _wanted(self):
         b = self.b
         here = {h['addr'] for h in b.links.values()} | {b.set.bind}
-        core = [r['addr'] for n, r in b.nodes.items() if r['role'] == 'trellis' and n not in b.links]
+        far = {n for c in (b.atlas.cells.values() if b.atlas else ()) for n in c['seats']}
+        core = [r['addr'] for n, r in b.nodes.items() if (r['role'] == 'trellis' or n in far) and n not in b.links]
         # a seed is only a place to ask: it is left alone once the core is known and in reach
-        known = len(b.of('trellis')) >= b.set.core_size and not core
+        known = len(b.of('trellis')) >= b.set.core_size and not any(
+            b.nodes[n]['role'] == 'trellis' for n in b.nodes if n not in b.links and n != b.me)
         return [a for a in core + ([] if known else list(b.set.seeds)) if a not in here]
 
     def tick(self):
@@ -42,7 +44,7 @@
         if pic != self.seen or b.now - self.told > self.pace * 2:
             self.seen, self.told = pic, b.now
             for p, h in list(b.links.items()):
-                if b.role == 'trellis' or h['role'] == 'trellis':
+                if b.role == 'trellis' or h['role'] == 'trellis' or (b.cells and h['role'] != 'tend'):
                     self.tell(p)
 
     def up(self, peer):
@@ -75,6 +77,9 @@
             if r['name'] == src or r['name'] not in b.links:
                 self._learn(r)
         for g, (nam, view) in (d['holders'] or {}).items():
+            # what a seat here knows of its own group is never older than hearsay
+            if g in b.cells and b.cells[g].chair.seat.view > view:
+                continue
             old = b.holders.get(g)
             if old is None or view > old[1] or (view == old[1] and nam != old[0] and nam == src):
                 b.holders[g] = (nam, view)
--- a/asterwharf/scheduler/cell.py
+++ b/asterwharf/scheduler/cell.py
@@ -3,6 +3,7 @@
 import hashlib
 
 from asterwharf.scheduler.claims import Claims
+from asterwharf.scheduler.handover import Handover
 from asterwharf.scheduler.model import (BUSY, CANCELLED, DONE, FAILED, FINAL, PLACED, READY, RECOVERING, RUNNING, STEPS,
                                         STOPPING, WAITING, Job, Minion, Task, build)
 from asterwharf.wire.schema import pack, unpack
@@ -15,10 +16,15 @@
     return int(h[:4], 16) % SHARDS, h
 
 
-class Cell(Claims):
+def pack_job(j):
+    return pack('r_job', j.dump() | {'tasks': [t.dump() for t in j.tasks.values()]})
+
+
+class Cell(Claims, Handover):
     """Applies changes in the group's one order; the same on every seat."""
 
-    __slots__ = ('by', 'dirty', 'emptied', 'gone', 'jobs', 'minions', 'moved', 'open', 'sequence', 'tasks')
+    __slots__ = ('by', 'dirty', 'emptied', 'gone', 'jobs', 'leaving', 'minions', 'moved', 'open', 'owned', 'parcels',
+                 'sequence', 'tasks', 'yielded')
 
     def __init__(self):
         self.moved = []
@@ -29,6 +35,7 @@
         self.jobs, self.minions, self.tasks, self.open = {}, {}, {}, {}
         self.by = {s: {} for s in STEPS}
         self.sequence, self.emptied, self.gone, self.dirty = 0, frozenset(), {}, set()
+        self.leaving, self.yielded, self.owned, self.parcels = {}, {}, {}, {}
         for k, raw in rows.items():
             self._row(k, unpack(raw)[1])
         for t in list(self.tasks.values()):
@@ -39,6 +46,9 @@
         knd, _, nam = k.partition(':')
         if knd == 'meta':
             self.sequence, self.emptied = d['sequence'], frozenset(d['emptied'])
+            self.leaving, self.yielded, self.owned = (d[k] or {} for k in ('leaving', 'yielded', 'owned'))
+        elif knd == 'parcel':
+            self.parcels[nam] = d
         elif knd == 'gone':
             self.gone[int(nam)] = d['gone']
         elif knd == 'minion':
@@ -66,7 +76,10 @@
     def _raw(self, k):
         knd, _, nam = k.partition(':')
         if knd == 'meta':
-            return pack('r_meta', {'sequence': self.sequence, 'emptied': sorted(self.emptied)})
+            return pack('r_meta', {'sequence': self.sequence, 'emptied': sorted(self.emptied), 'leaving': self.leaving,
+                                   'yielded': self.yielded, 'owned': self.owned})
+        if knd == 'parcel':
+            return pack('r_parcel', self.parcels[nam]) if nam in self.parcels else None
         if knd == 'gone':
             return pack('r_meta', {'gone': self.gone[int(nam)]})
         if knd == 'minion':
@@ -78,9 +91,7 @@
                             'gpus': g, 'mem': x} for k, (c, g, x) in m.strays.items()]
             return pack('r_minion', d)
         j = self.jobs.get(nam)
-        if j is None:
-            return None
-        return pack('r_job', j.dump() | {'tasks': [t.dump() for t in j.tasks.values()]})
+        return None if j is None else pack_job(j)
 
     # --- changes
     def apply(self, op, raw):
@@ -178,6 +189,8 @@
         for t, m, r in its:
             if t is None or m is None or t.state != READY or r != t.round + 1 or t.job.fate or t.due > at:
                 return False
+            if t.job.tenant in self.leaving:
+                return False
             if not m.open or m.zone in self.emptied or (t.zones and m.zone not in t.zones):
                 return False
             c, g, x = room.setdefault(m.name, m.free)
@@ -278,11 +291,14 @@
             n, h = shard(k)
             self.gone[n] = (self.gone.get(n, []) + [h])[-MARKS:]
             self.dirty.update((f'gone:{n}', f'job:{k}'))
-            del self.jobs[k]
-            for t in j.tasks.values():
-                del self.tasks[t.key]
-                self.by[t.state].pop(t.key, None)
+            self._drop(j)
         return len(d['keys'])
 
+    def _drop(self, j):
+        del self.jobs[j.key]
+        for t in j.tasks.values():
+            del self.tasks[t.key]
+            self.by[t.state].pop(t.key, None)
+
 
 __all__ = ['Cell', 'RUNNING']
--- a/asterwharf/scheduler/claims.py
+++ b/asterwharf/scheduler/claims.py
@@ -13,6 +13,9 @@
 
     def t_register(self, d):
         """A newer registration replaces the old link everywhere; the rest is reconciled."""
+        # on its way to another cell: it registers there
+        if d['minion'] in self.yielded:
+            return None
         m = self.minions.get(d['minion'])
         if m is None:
             m = self.minions[d['minion']] = Minion(name=d['minion'])
--- a/asterwharf/scheduler/clerk.py
+++ b/asterwharf/scheduler/clerk.py
@@ -1,5 +1,7 @@
 """Answers errands at the holders: the core's and the cell's. Pure."""
 
+import base64
+
 from asterwharf.base.board import Controller
 from asterwharf.scheduler import config, jobs, show
 from asterwharf.scheduler.model import FINAL
@@ -10,28 +12,40 @@
 class Clerk(Controller):
     """Looks an errand up, judges it, orders the change, answers when it is delivered."""
 
-    __slots__ = ('cell', 'chairs', 'core', 'placer')
+    __slots__ = ('core',)
     hears = ('errand',)
 
-    def __init__(self, b, core, cell, placer):
+    def __init__(self, b, core=None):
         super().__init__(b)
-        self.core, self.cell, self.placer = core, cell, placer
-        self.chairs = {c.grp: c for c in (core, cell)}
+        self.core = core
+
+    def chair(self, grp):
+        if grp == 'core':
+            return self.core
+        part = self.b.cells.get(grp)
+        return part.chair if part else None
 
     def on_errand(self, src, d):
-        chr_ = self.chairs.get(d['grp'])
+        chr_ = self.chair(d['grp'])
 
         def give(code, body=None):
             hnt = self.b.holders.get(d['grp'], ('', 0))[0] if code == 'no_holder' else ''
             self.b.send(src, 'returned', id=d['id'], code=code, body=body, hint=hnt)
 
         fn = getattr(self, 'do_' + d['op'], None)
-        if chr_ is None or fn is None:
+        if fn is None:
             return give('no_path', {'details': [f"{d['grp']}.{d['op']}"]})
-        if not chr_.holds:
+        if chr_ is None or not chr_.holds:
             return give('no_holder', NOBODY)
         self.b.count[f"errand.{d['op']}"] += 1
-        fn(d['args'] or {}, give)
+        fn(d['args'] or {}, give, chr_)
+
+    def _theirs(self, cell, ten, give):
+        """Another cell answers for this tenant, or soon will."""
+        if cell.mac.ours(ten, cell.grp):
+            return False
+        give('moving', NOBODY)
+        return True
 
     def _sure(self, chr_, give, fn):
         """Runs `fn` once a majority confirms that this node still holds the group."""
@@ -48,7 +62,7 @@
             give('no_holder', NOBODY)
 
     # --- the core
-    def do_config_get(self, a, give):
+    def do_config_get(self, a, give, cell):
         def fn():
             c = self.core.mac.conf
             if c['sequence'] == a.get('known', -1):
@@ -57,10 +71,13 @@
                         'config': config.swell(c['doc']) if c['doc'] else {}})
         self._sure(self.core, give, fn)
 
-    def do_config_put(self, a, give):
+    def do_config_put(self, a, give, cell):
         res = config.check(a['config'])
         if res.is_error():
             return give(res.error.code, {'details': res.error.more})
+        bad = self._seats(res.ok)
+        if bad:
+            return give('bad_config', {'details': bad})
         doc = {'sequence': 0, 'base': a['base'], 'by': a.get('by', ''), 'at': self.core.wall,
                'doc': config.squeeze(a['config'])}
 
@@ -68,16 +85,47 @@
             give('ok' if r['ok'] else 'stale', {'sequence': r['sequence']})
         self._order(self.core, 'c_config', doc, give, then)
 
-    def do_nodes(self, a, give):
+    def _seats(self, cfg):
+        """A cell's seats must be nodes that are known."""
+        b, bad = self.b, []
+        for n, c in cfg.cells.items():
+            bad += [f'cells.{n}.seats[{i}]: no node {x!r}' for i, x in enumerate(c.seats) if x not in b.nodes]
+            if not c.seats and not any(r['zone'] in c.zones for r in b.nodes.values()):
+                bad.append(f'cells.{n}.zones: no node is in them; name the seats')
+        return bad
+
+    def do_cells(self, a, give, cell):
+        def fn():
+            at, cfg = self.b.atlas, self.b.config
+            rows = [{'name': n, 'group': c['gid'], 'seats': sorted(c['seats']), 'holder': self.b.holders.get(c['gid'], ('',))[0],
+                     'owns': sorted(w for w, g in at.own.items() if g == c['gid']),
+                     'going': not cfg or n not in cfg.cells} for n, c in sorted(at.cells.items())]
+            rows += [{'name': n, 'group': '', 'seats': [], 'holder': '', 'owns': [], 'going': False}
+                     for n in (cfg.cells if cfg else ()) if n not in at.cells]
+            give('ok', {'cells': rows})
+        self._sure(self.core, give, fn)
+
+    def do_own(self, a, give, cell):
+        self._order(self.core, 'c_own', {'what': a['what'], 'was': a['was'], 'cell': a['cell']}, give,
+                    lambda r: give('ok' if r else 'stale', {'cell': self.core.mac.atlas.own.get(a['what'], '')}))
+
+    def do_import(self, a, give, cell):
+        doc = {'tenant': a['tenant'], 'was': a['was'], 'part': a['part'], 'last': a['last'],
+               'rows': [{'v': base64.b64decode(v)} for v in a['rows']]}
+        self._order(cell, 't_import', doc, give, lambda r: give('ok', {'part': r}))
+
+    def do_nodes(self, a, give, cell):
         def fn():
             b = self.b
             rows = [dict(r, connected=n in b.links or n == b.me) for n, r in sorted(b.nodes.items())]
             give('ok', {'nodes': rows, 'holders': {g: h[0] for g, h in b.holders.items()}})
         self._sure(self.core, give, fn)
 
-    def do_seats(self, a, give):
+    def do_seats(self, a, give, cell):
         out = {}
-        for g, c in self.chairs.items():
+        for g, c in [('core', self.core)] + [(g, p.chair) for g, p in self.b.cells.items()]:
+            if c is None:
+                continue
             s = c.seat
             out[g] = {'state': s.state, 'view': s.view, 'holder': self.b.holders.get(g, ('', 0))[0],
                       'delivered': s.upto, 'last': s.log.last, 'seats': s.log.seats, 'counts': s.count}
@@ -90,12 +138,14 @@
     def _key(self, a):
         return f"{a['tenant']}/{a['id']}"
 
-    def do_submit(self, a, give):
+    def do_submit(self, a, give, cell):
         # the identifier is looked up first: an earlier sending may have been taken
-        self._sure(self.cell, give, lambda: self._submit(a, give))
+        self._sure(cell, give, lambda: self._submit(a, give, cell))
 
-    def _submit(self, a, give):
-        mac, cfg = self.cell.mac, self.b.config or config.bare()
+    def _submit(self, a, give, cell):
+        if self._theirs(cell, a['tenant'], give):
+            return
+        mac, cfg = cell.mac, self.b.config or config.bare()
         dig = jobs.digest(a['spec'])
         old = mac.jobs.get(self._key(a))
         if old is not None:
@@ -111,72 +161,78 @@
         ten = cfg.tenants[a['tenant']]
         if mac.open.get(a['tenant'], 0) >= ten.max_jobs:
             return give('tenant_full', {'retry_ms': 5000})
-        if len(self.cell.seat.waits) >= self.b.set.buffer:
+        if len(cell.seat.waits) >= self.b.set.buffer:
             return give('overload', {'retry_ms': 1000})
         spec = {'class': res.ok.cls, 'tasks': a['spec']['tasks']}
-        doc = {'tenant': a['tenant'], 'id': a['id'], 'sum': dig, 'spec': spec, 'at': self.cell.wall}
+        doc = {'tenant': a['tenant'], 'id': a['id'], 'sum': dig, 'spec': spec, 'at': cell.wall}
 
         def then(r):
             if r in ('taken', 'same'):
                 return give(r, show.job(mac.jobs[self._key(a)]))
             give(r)
-        self._order(self.cell, 't_submit', doc, give, then)
+        self._order(cell, 't_submit', doc, give, then)
 
-    def do_job(self, a, give):
+    def do_job(self, a, give, cell):
         def fn():
-            mac = self.cell.mac
+            if self._theirs(cell, a['tenant'], give):
+                return
+            mac = cell.mac
             j = mac.jobs.get(self._key(a))
             if j is None:
                 return give('forgotten' if mac.forgot(self._key(a)) else 'unknown_job',
                             {'details': [f"id: {a['id']!r}"]})
             give('ok', show.job(j))
-        self._sure(self.cell, give, fn)
+        self._sure(cell, give, fn)
 
-    def do_jobs(self, a, give):
+    def do_jobs(self, a, give, cell):
         def fn():
-            got = [j for j in self.cell.mac.jobs.values() if not a.get('tenant') or j.tenant == a['tenant']]
+            got = [j for j in cell.mac.jobs.values() if not a.get('tenant') or j.tenant == a['tenant']]
             if a.get('state'):
                 got = [j for j in got if j.state == a['state']]
             got.sort(key=lambda j: (j.at, j.key), reverse=True)
             give('ok', {'total': len(got), 'jobs': [show.brief(j) for j in got[:a.get('most', 200)]]})
-        self._sure(self.cell, give, fn)
+        self._sure(cell, give, fn)
 
-    def do_cancel(self, a, give):
+    def do_cancel(self, a, give, cell):
         def fn():
-            doc = {'tenant': a['tenant'], 'id': a['id'], 'at': self.cell.wall}
+            if self._theirs(cell, a['tenant'], give):
+                return
+            doc = {'tenant': a['tenant'], 'id': a['id'], 'at': cell.wall}
 
             def then(r):
-                j = self.cell.mac.jobs.get(self._key(a))
+                j = cell.mac.jobs.get(self._key(a))
                 # confirmed only when nothing of it can run any more; before that "under way"
                 give(r, dict(show.job(j), retry_ms=1000) if j else {'details': [f"id: {a['id']!r}"]})
-            self._order(self.cell, 't_cancel', doc, give, then)
-        self._sure(self.cell, give, fn)
+            self._order(cell, 't_cancel', doc, give, then)
+        self._sure(cell, give, fn)
 
-    def do_minions(self, a, give):
-        self._sure(self.cell, give, lambda: give('ok', {
-            'minions': [show.minion(m) for _, m in sorted(self.cell.mac.minions.items())]}))
+    def do_minions(self, a, give, cell):
+        self._sure(cell, give, lambda: give('ok', {
+            'minions': [show.minion(m) for _, m in sorted(cell.mac.minions.items())]}))
 
-    def do_claims(self, a, give):
+    def do_claims(self, a, give, cell):
         def fn():
-            mac = self.cell.mac
+            mac = cell.mac
             rows = [show.claim(mac.tasks[k]) for m in mac.minions.values() for k in m.load]
             give('ok', {'claims': sorted(rows, key=lambda r: (r['minion'], r['task']))})
-        self._sure(self.cell, give, fn)
+        self._sure(cell, give, fn)
 
-    def do_drain(self, a, give):
-        doc = {'minion': a['minion'], 'on': a['on'], 'by': 'operator', 'at': self.cell.wall}
-        self._order(self.cell, 't_drain', doc, give, lambda r: give(r, {'minion': a['minion'], 'draining': a['on']}))
+    def do_drain(self, a, give, cell):
+        doc = {'minion': a['minion'], 'on': a['on'], 'by': 'operator', 'at': cell.wall}
+        self._order(cell, 't_drain', doc, give, lambda r: give(r, {'minion': a['minion'], 'draining': a['on']}))
 
-    def do_gone(self, a, give):
-        self._order(self.cell, 't_gone', {'minion': a['minion'], 'at': self.cell.wall}, give,
+    def do_gone(self, a, give, cell):
+        self._order(cell, 't_gone', {'minion': a['minion'], 'at': cell.wall}, give,
                     lambda r: give(r, {'minion': a['minion']}))
 
-    def do_why(self, a, give):
+    def do_why(self, a, give, cell):
         def fn():
-            j = self.cell.mac.jobs.get(self._key(a))
+            if self._theirs(cell, a['tenant'], give):
+                return
+            j = cell.mac.jobs.get(self._key(a))
             if j is None:
                 return give('unknown_job', {'details': [f"id: {a['id']!r}"]})
-            rows = [{'task': t.name, 'state': t.state, 'why': t.why if t.state in FINAL else self.placer.why(t)}
+            rows = [{'task': t.name, 'state': t.state, 'why': t.why if t.state in FINAL else self.b.cells[cell.grp].placer.why(t)}
                     for t in j.tasks.values()]
             give('ok', {'job': j.key, 'state': j.state, 'tasks': rows})
-        self._sure(self.cell, give, fn)
+        self._sure(cell, give, fn)
--- a/asterwharf/scheduler/config.py
+++ b/asterwharf/scheduler/config.py
@@ -48,12 +48,21 @@
     tries: int = 20
 
 
+@dataclass(frozen=True)
+class CellSpec:
+    tenants: list[str] = field(default_factory=list)
+    zones: list[str] = field(default_factory=list)
+    minions: list[str] = field(default_factory=list)
+    seats: list[str] = field(default_factory=list)
+
+
 @dataclass(frozen=True)
 class Doc:
     zones: dict[str, Zone]
     tenants: dict[str, Tenant]
     classes: dict[str, Class] = field(default_factory=dict)
     policies: dict[str, Program] = field(default_factory=dict)
+    cells: dict[str, CellSpec] = field(default_factory=dict)
     limits: Limits = field(default_factory=Limits)
     note: str = ''
 
@@ -61,13 +70,21 @@
 class Config:
     """A checked document and its compiled policies."""
 
-    __slots__ = ('classes', 'doc', 'emptied', 'limits', 'policies', 'raw', 'sequence', 'tenants', 'zones')
+    __slots__ = ('_by', 'cells', 'classes', 'doc', 'emptied', 'limits', 'packed', 'policies', 'raw', 'sequence', 'tenants', 'zones')
 
     def __init__(self, doc, raw, pols, seq):
-        self.doc, self.raw, self.policies, self.sequence = doc, raw, pols, seq
+        self.doc, self.raw, self.policies, self.sequence, self.packed = doc, raw, pols, seq, b''
         self.zones, self.tenants, self.limits = doc.zones, doc.tenants, doc.limits
         self.classes = {'default': Class()} | doc.classes
-        self.emptied = frozenset(z for z, v in doc.zones.items() if v.emptied)
+        self.emptied, self.cells = frozenset(z for z, v in doc.zones.items() if v.emptied), doc.cells
+        self._by = {(k, x): n for n, c in doc.cells.items() for k in ('tenants', 'zones', 'minions') for x in getattr(c, k)}
+
+    def cell_of_tenant(self, ten):
+        return self._by.get(('tenants', ten), 'commons')
+
+    def cell_of_minion(self, nam, zone):
+        # a minion named outright goes before its zone
+        return self._by.get(('minions', nam)) or self._by.get(('zones', zone), 'commons')
 
     def policy(self, tenant):
         t = self.tenants.get(tenant)
@@ -76,7 +93,7 @@
 
 def _names(doc):
     bad = []
-    for k in ('zones', 'tenants', 'classes', 'policies'):
+    for k in ('zones', 'tenants', 'classes', 'policies', 'cells'):
         bad += [f'{k}.{n}: not a name' for n in getattr(doc, k) if not NAME.match(n)]
     return bad
 
@@ -105,13 +122,31 @@
     return bad
 
 
+def _cells(doc):
+    bad, seen = [], {}
+    for n, c in doc.cells.items():
+        if n in ('commons', 'core'):
+            bad.append(f'cells.{n}: the name is taken')
+        if not c.seats and not c.zones:
+            bad.append(f'cells.{n}: seats or zones to take them from are wanted')
+        for k in ('tenants', 'zones', 'minions', 'seats'):
+            for i, x in enumerate(getattr(c, k)):
+                if k in ('tenants', 'zones') and x not in getattr(doc, k):
+                    bad.append(f'cells.{n}.{k}[{i}]: no {k[:-1]} {x!r}')
+                # a tenant, zone or minion belongs to exactly one cell at a time
+                own = seen.setdefault((k, x, n if k == 'seats' else ''), f'cells.{n}.{k}[{i}]')
+                if own != f'cells.{n}.{k}[{i}]':
+                    bad.append(f'cells.{n}.{k}[{i}]: {x!r} stands at {own} already')
+    return bad
+
+
 def check(raw, seq=0):
     """Result of the Config, or of every mistake with its path."""
     res = read(Doc, raw)
     if res.is_error():
         return Error(trouble('bad_field', *res.error))
     doc = res.ok
-    bad = _names(doc) + _cross(doc)
+    bad = _names(doc) + _cross(doc) + _cells(doc)
     if bad:
         return Error(trouble('bad_config', *bad))
     if doc.zones and all(z.emptied for z in doc.zones.values()):
--- a/asterwharf/scheduler/core.py
+++ b/asterwharf/scheduler/core.py
@@ -1,24 +1,27 @@
-"""The state machine of the core group: the configuration and the node list. Pure."""
+"""The state machine of the core group: the configuration and the cell directory. Pure."""
 
+import json
+
+from asterwharf.scheduler.atlas import Atlas
 from asterwharf.wire.schema import pack, unpack
 
 
 class Core:
     """One whole document replaces the last; of rivals on one base, one wins."""
 
-    __slots__ = ('conf', 'dirty', 'nodes')
+    __slots__ = ('atlas', 'conf', 'dirty')
 
     def __init__(self):
         self.load({})
 
     def load(self, rows):
-        self.conf, self.nodes, self.dirty = {'sequence': 0, 'base': 0, 'by': '', 'at': 0, 'doc': b''}, {}, set()
+        self.conf, self.atlas, self.dirty = {'sequence': 0, 'base': 0, 'by': '', 'at': 0, 'doc': b''}, Atlas(), set()
         for k, raw in rows.items():
             d = unpack(raw)[1]
             if k == 'conf':
                 self.conf = d
             else:
-                self.nodes[d['name']] = d
+                self.atlas.merge([(d['k'], d['op'], d['v'])])
 
     def delta(self):
         out = {}
@@ -26,8 +29,8 @@
             if k == 'conf':
                 out[k] = pack('c_config', self.conf)
             else:
-                n = self.nodes.get(k[5:])
-                out[k] = pack('c_node', n) if n else None
+                op, v = self.atlas.rows[k]
+                out[k] = pack('r_dir', {'k': k, 'op': op, 'v': v})
         self.dirty = set()
         return out
 
@@ -37,9 +40,13 @@
 
     def apply(self, op, raw):
         knd, d = unpack(raw)
-        return getattr(self, knd)(d)
+        return getattr(self, knd)(op, d)
+
+    def _put(self, op, k, v):
+        self.atlas.merge([(k, op, v)])
+        self.dirty.add(k)
 
-    def c_config(self, d):
+    def c_config(self, op, d):
         # the base is looked at here, in the one order, so rivals can't both win
         if d['base'] != self.sequence:
             return {'ok': False, 'sequence': self.sequence}
@@ -47,7 +54,31 @@
         self.dirty.add('conf')
         return {'ok': True, 'sequence': self.sequence}
 
-    def c_node(self, d):
-        self.nodes[d['name']] = d
-        self.dirty.add('node:' + d['name'])
+    def c_node(self, op, d):
+        """Of the first release; nothing is kept of it any more."""
+        return True
+
+    def c_cell(self, op, d):
+        """Makes a cell's group with these seats, or drops one that owns nothing any more."""
+        nam = d['name']
+        if d['on']:
+            if nam in self.atlas.cells:
+                return False
+            # a cell made anew under an old name is another group
+            self._put(op, f'cell:{nam}', json.dumps({'gid': f'{nam}.{op}', 'seats': d['seats']}).encode())
+            return True
+        gid = self.atlas.gid(nam)
+        if not gid or gid in self.atlas.own.values():
+            return False
+        self._put(op, f'cell:{nam}', b'')
+        return True
+
+    def c_own(self, op, d):
+        """A tenant or minion changes hands only from the one that owns it; the first claim wins."""
+        cur = self.atlas.own.get(d['what'], '')
+        if cur == d['cell']:
+            return True
+        if cur != d['was']:
+            return False
+        self._put(op, f"own:{d['what']}", d['cell'].encode())
         return True
--- a/asterwharf/scheduler/ferry.py
+++ b/asterwharf/scheduler/ferry.py
@@ -3,7 +3,7 @@
 from asterwharf.base.board import Controller
 
 # errands that change nothing may be given up on with "come again"; the others only with "unsure"
-READS = frozenset(('job', 'jobs', 'minions', 'minion', 'claims', 'config_get', 'nodes', 'cells', 'why', 'seats'))
+READS = frozenset(('job', 'import', 'own', 'jobs', 'minions', 'minion', 'claims', 'config_get', 'nodes', 'cells', 'why', 'seats'))
 
 
 # refusals that another holder might not have given
@@ -13,7 +13,7 @@
 class Trip:
     """One errand under way."""
 
-    __slots__ = ('args', 'end', 'grp', 'hops', 'id', 'maybe', 'next', 'op', 'then', 'to', 'wait')
+    __slots__ = ('args', 'cell', 'end', 'grp', 'hops', 'id', 'maybe', 'next', 'op', 'then', 'to', 'wait')
 
     def __init__(self, tid, grp, op, args, end, then):
         self.id, self.grp, self.op, self.args, self.end, self.then = tid, grp, op, args, end, then
@@ -23,12 +23,27 @@
 class Ferry(Controller):
     """Sends, sends again where that is safe, and gives up in time: the last word is said at once."""
 
-    __slots__ = ('n', 'trips', 'turn')
+    __slots__ = ('dark', 'n', 'trips', 'turn')
     hears = ('returned',)
 
     def __init__(self, b):
         super().__init__(b)
-        self.trips, self.n, self.turn = {}, 0, 0
+        self.trips, self.n, self.turn, self.dark = {}, 0, 0, {}
+
+    # --- which group answers
+    def _group(self, op, args):
+        at = self.b.atlas
+        if 'tenant' in args:
+            return at.tenant(args['tenant'])
+        return at.own.get(f"minion:{args.get('minion')}", 'commons')
+
+    def _lit(self, grp):
+        n = self.b.holders.get(grp, ('', 0))[0]
+        return n == self.b.me or n in self.b.links
+
+    def _seats(self, grp):
+        among = self.b.atlas.seats(grp)
+        return sorted(n for n, h in self.b.links.items() if (n in among if among else h['role'] == 'trellis'))
 
     def start(self, op, grp, args, then, ttl=0):
         """`then(code, body)` is called once, at the latest when the errand's time is up."""
@@ -37,17 +52,45 @@
         if len(self.trips) >= b.set.buffer:
             b.count['refused.overload'] += 1
             return then('overload', {'retry_ms': 1000})
+        if grp == 'all':
+            return self._fan(op, args, then)
+        was = 'cell' if grp == 'cell' else ''
+        grp = self._group(op, args) if was else grp
+        # where no holder has been in reach for long, that is said at once and not when the errand's time is up
+        if self.dark.get(grp, b.now) < b.now - b.set.view.silence_ms * 2 and not self._lit(grp):
+            return then('no_holder', {'retry_ms': 2000, 'details': [f'the cell {grp} is out of reach']})
         self.n += 1
         t = Trip(f'{b.me}.{b.inc}.{self.n}', grp, op, args, b.now + (ttl or b.set.errand_ms), then)
+        t.cell = bool(was)
         self.trips[t.id] = t
         self._go(t)
 
+    def _fan(self, op, args, then):
+        """Asks every cell and lays their answers together; a cell out of reach is named."""
+        grps, got, bad = self.b.atlas.groups(), [], []
+
+        def one(grp, code, body):
+            (got if code == 'ok' else bad).append((grp, code, body))
+            if len(got) + len(bad) < len(grps):
+                return
+            if not got:
+                return then(bad[0][1], bad[0][2])
+            out = {}
+            for _, _, b in sorted(got, key=lambda r: r[0]):
+                for k, v in b.items():
+                    out[k] = out[k] + v if k in out else v
+            if bad:
+                out['missing'] = sorted(g for g, _, _ in bad)
+            then('ok', out)
+        for g in grps:
+            self.start(op, g, args, lambda c, b, g=g: one(g, c, b))
+
     def _pick(self, t, hint=''):
         b = self.b
         for n in (hint, b.holders.get(t.grp, ('', 0))[0]):
             if n and (n in b.links or n == b.me):
                 return n
-        core = sorted(n for n, h in b.links.items() if h['role'] == 'trellis')
+        core = self._seats(t.grp)
         self.turn += 1
         return core[self.turn % len(core)] if core else ''
 
@@ -68,6 +111,9 @@
         if t is None:
             return
         # not the holder, or a holder that lost the view: every errand may be sent again, being idempotent
+        if d['code'] == 'moving' and self.b.now < t.end:
+            t.to, t.wait, t.next = '', False, self.b.now + self.b.set.view.silence_ms // 4
+            return
         if d['code'] in ('no_holder', 'unsure') and self.b.now < t.end:
             t.wait, t.maybe = False, t.maybe or d['code'] == 'unsure'
             if d['hint'] and d['hint'] != src and t.hops < 4:
@@ -92,6 +138,11 @@
 
     def tick(self):
         now = self.b.now
+        for g in self.b.atlas.groups() + ['core']:
+            if self._lit(g):
+                self.dark.pop(g, None)
+            else:
+                self.dark.setdefault(g, now)
         for t in list(self.trips.values()):
             if now >= t.end:
                 # what was sent may have been taken: never "not taken" when unsure
@@ -99,4 +150,6 @@
                 self._end(t, 'no_holder' if sure else 'unsure', {'retry_ms': 1000})
             elif now >= t.next:
                 t.hops = 0
+                # the tenant may have a new cell by now
+                t.grp = self._group(t.op, t.args) if t.cell else t.grp
                 self._go(t)
--- a/asterwharf/scheduler/placer.py
+++ b/asterwharf/scheduler/placer.py
@@ -53,7 +53,8 @@
         """Tasks that may start now, each alone or with its whole gang: [(priority, tenant, [tasks])]."""
         out, seen = [], set()
         for t in list(self.mac.by[READY].values()):
-            if t.due > at or t.key in seen or t.job.tenant not in cfg.tenants or not self._rested(t, cfg, at):
+            if t.due > at or t.key in seen or t.job.tenant not in cfg.tenants or t.job.tenant in self.mac.leaving \
+                    or not self._rested(t, cfg, at):
                 continue
             grp = [t]
             if t.gang:
@@ -101,6 +102,8 @@
             return 'not connected'
         if not m.open:
             return 'draining'
+        if self.b.atlas.gid(cfg.cell_of_minion(m.name, m.zone)) not in ('', self.cell.grp):
+            return 'moves to another cell'
         if m.zone in cfg.emptied or m.zone in self.mac.emptied:
             return f'zone {m.zone} is emptied'
         if t.zones and m.zone not in t.zones:
@@ -183,6 +186,8 @@
             return t.why
         if cfg is None or t.job.tenant not in cfg.tenants:
             return 'its tenant is not in the configuration in force'
+        if t.job.tenant in self.mac.leaving:
+            return 'its tenant moves to another cell'
         at = self.cell.wall
         if t.due > at:
             return f'due in {t.due - at} ms'
--- a/asterwharf/scheduler/steward.py
+++ b/asterwharf/scheduler/steward.py
@@ -1,6 +1,7 @@
 """The holder's side of the minion links: registers, confirms beats, orders starts and stops, keeps the timers. Pure."""
 
 from asterwharf.base.board import Controller
+from asterwharf.scheduler.ferry import Ferry
 from asterwharf.scheduler.model import PLACED, RECOVERING, RUNNING, STOPPING
 
 
@@ -17,7 +18,7 @@
 class Steward(Controller):
     """Lives on every seat; acts only where the seat holds."""
 
-    __slots__ = ('cell', 'downs', 'sent', 'term', 'ties', 'timers')
+    __slots__ = ('asked', 'cell', 'downs', 'sent', 'term', 'ties', 'timers')
     hears = ('register', 'beat', 'stamped', 'status', 'drain', 'down', 'attach')
 
     def __init__(self, b, cell):
@@ -26,7 +27,7 @@
         self._fresh()
 
     def _fresh(self):
-        self.ties, self.timers, self.sent, self.downs = {}, {}, {}, set()
+        self.ties, self.timers, self.sent, self.downs, self.asked = {}, {}, {}, set(), {}
 
     @property
     def mac(self):
@@ -43,9 +44,18 @@
         return m is not None and m.up and m.link == link and (nam, link) not in self.downs
 
     # --- registration
+    def _here(self, nam):
+        """Several cells may have their holder on this node: each minds its own minions."""
+        if nam in self.mac.minions or nam in self.mac.yielded:
+            return True
+        return self.b.atlas.own.get('minion:' + nam, self.cell.grp) == self.cell.grp
+
     def on_register(self, src, d):
         if not self.cell.takes:
             return
+        own = self.b.atlas.own.get('minion:' + d['minion'], '')
+        if own != self.cell.grp:
+            return self._claim(d, own)
         doc = {k: d[k] for k in ('minion', 'inc', 'zone', 'cores', 'gpus', 'mem', 'labels', 'drain', 'inflight')}
         doc.update(edge=src, at=self.cell.wall)
 
@@ -53,6 +63,8 @@
             if r is None:
                 return
             res = r[1]
+            if res is None:
+                return
             tie = self.ties[d['minion']] = Tie(src, self.b.now)
             tie.stamp, tie.recv = d['stamp'], self.b.now
             for k in [k for k in self.sent if k[0] == d['minion']]:
@@ -64,6 +76,16 @@
                                 for i in res['record']])
         self.cell.order('t_register', doc, got)
 
+    def _claim(self, d, own):
+        """A minion that no cell owns yet is claimed at the core; the first claim wins."""
+        b = self.b
+        if own or b.atlas.minion(d['minion'], d['zone'], b.config) != self.cell.grp:
+            return
+        what = 'minion:' + d['minion']
+        if what not in self.asked or b.now - self.asked[what] > b.set.view.silence_ms:
+            self.asked[what] = b.now
+            b.node.find(Ferry).start('own', 'core', {'what': what, 'was': '', 'cell': self.cell.grp}, lambda c, x: None)
+
     def _terms(self):
         """The confirmed settings of the link, which the agent takes over."""
         l = self.b.set.link
@@ -72,7 +94,7 @@
 
     # --- beats: answered only once a majority has confirmed this holder after hearing them
     def on_beat(self, src, d):
-        if not self.cell.holds:
+        if not self.cell.holds or not self._here(d['minion']):
             return
         if not self._live(d['minion'], d['link']):
             return self._detach(src, d['minion'], d['link'], 'link is not the newest')
@@ -105,6 +127,8 @@
             if m.up and m.edge == src and m.name not in got:
                 self._down(m.name, m.link, 'its edge does not know the link')
         for r in d['links']:
+            if not self._here(r['minion']):
+                continue
             if self._live(r['minion'], r['link']):
                 self._tie(r['minion'], src).lost = 0
             else:
@@ -112,7 +136,7 @@
 
     # --- what agents tell
     def on_status(self, src, d):
-        if not self.cell.takes:
+        if not self.cell.takes or not self._here(d['minion']):
             return
         ns = [str(i['n']) for i in d['items']]
         at = self.cell.wall
@@ -128,6 +152,8 @@
         self.cell.order('t_status', doc, got)
 
     def on_drain(self, src, d):
+        if d['minion'] not in self.mac.minions:
+            return
         self.cell.order('t_drain', {'minion': d['minion'], 'on': d['on'], 'by': 'agent', 'at': self.cell.wall})
 
     def on_down(self, src, d):
--- a/asterwharf/sim/actors.py
+++ b/asterwharf/sim/actors.py
@@ -61,7 +61,7 @@
             if code in ('taken', 'same') and beg is not None:
                 self.took.append(self.w.t - beg)
                 self.w.after(500, self.ask, tenant, jid)
-        self._call('submit', 'commons', {'tenant': tenant, 'id': jid, 'spec': spec}, then)
+        self._call('submit', 'cell', {'tenant': tenant, 'id': jid, 'spec': spec}, then)
 
     def ask(self, tenant, jid):
         job = f'{tenant}/{jid}'
@@ -71,7 +71,7 @@
                 self.obs.told(job, 'job', code, body)
             if job not in self.obs.final:
                 self.w.after(self.w.rng.randint(800, 1500), self.ask, tenant, jid)
-        self._call('job', 'commons', {'tenant': tenant, 'id': jid}, then)
+        self._call('job', 'cell', {'tenant': tenant, 'id': jid}, then)
 
     def cancel(self, tenant, jid):
         job = f'{tenant}/{jid}'
@@ -83,7 +83,7 @@
             if code in ('ok', 'ended', 'unknown_job'):
                 return
             self.w.after(1000, self.cancel, tenant, jid)
-        self._call('cancel', 'commons', {'tenant': tenant, 'id': jid}, then)
+        self._call('cancel', 'cell', {'tenant': tenant, 'id': jid}, then)
 
     def configure(self, change, by='op', tries=30):
         """Gets, changes, puts; on a lost race it begins again."""
--- a/asterwharf/sim/fleet.py
+++ b/asterwharf/sim/fleet.py
@@ -9,6 +9,7 @@
 from asterwharf.sim.observer import Observer
 from asterwharf.sim.world import World
 from asterwharf.trellis import node as trellis
+from asterwharf.view.chair import chairs
 
 # figures a simulated fleet runs with: the ratios hold as in the defaults, the bounds are shorter
 LINK = Link(beat_ms=500, unhealthy_ms=1500, close_ms=3000, grace_ms=6000, base_ms=200, max_ms=2000, auth_ms=1000,
@@ -48,7 +49,7 @@
             if role == 'trellis':
                 return trellis.build(s, inc, rng, h.disk.load, now, wall)
             if role == 'furrow':
-                return furrow.serve(s, inc, rng, now, wall)
+                return furrow.serve(s, inc, rng, h.disk.load, now, wall)
             nod = furrow.tend(s, inc, rng, now, wall, self.size)
             w.after(0, self.mins[n].greet, h)
             return nod
@@ -83,7 +84,7 @@
 
     def chair(self, n, grp):
         nd = self.node(n)
-        return trellis.chairs(nd)[grp] if nd else None
+        return chairs(nd)[grp] if nd else None
 
     def holder(self, grp):
         got = [n for n in self.core if self.chair(n, grp) and self.chair(n, grp).holds]
--- a/asterwharf/sim/scenarios.py
+++ b/asterwharf/sim/scenarios.py
@@ -5,6 +5,7 @@
 
 from asterwharf.sim.actors import DOC, job
 from asterwharf.sim.fleet import Fleet
+from asterwharf.view.chair import leave
 
 ALL = {}
 LONG = (300, 1500, 9000)
@@ -338,8 +339,7 @@
 
         def go(n=n):
             if n in f.core:
-                from asterwharf.trellis import node
-                f.w._do(f.w.hosts[n], lambda: node.leave(f.node(n)))
+                f.w._do(f.w.hosts[n], lambda: leave(f.node(n)))
                 f.w.after(150, lambda: (f.w.kill(n), f.w.after(300, f.w.start, n)))
             else:
                 f.w.kill(n)
--- a/asterwharf/sim/world.py
+++ b/asterwharf/sim/world.py
@@ -7,7 +7,7 @@
 import random
 
 from asterwharf.wire import kinds  # noqa: F401
-from asterwharf.wire.schema import pack, unpack
+from asterwharf.wire.schema import pack, speaks, unpack
 
 
 class Disk:
@@ -45,13 +45,14 @@
 class Host:
     """One simulated process: its node object, its clocks, its disk, its fate."""
 
-    __slots__ = ('addr', 'alive', 'born', 'build', 'disk', 'frozen', 'life', 'minion', 'name', 'node', 'pend', 'role',
+    __slots__ = ('addr', 'alive', 'bare', 'born', 'build', 'disk', 'frozen', 'life', 'minion', 'name', 'node', 'pend', 'role',
                  'skew', 'slow', 'wall')
 
     def __init__(self, name, role, addr, build):
         self.name, self.role, self.addr, self.build = name, role, addr, build
         self.node, self.alive, self.frozen, self.pend = None, False, False, []
         self.skew, self.wall, self.slow, self.life, self.minion, self.disk, self.born = 0, 0, 0, 0, None, None, 0
+        self.bare = False
 
 
 class Conn:
@@ -127,8 +128,10 @@
         h = self.hosts[name]
         h.alive, h.frozen, h.pend, h.born = True, False, [], self.t
         h.life += 1
-        # only a disk remembers who it was; an edge or an agent is a new incarnation each time
-        inc = h.disk.inc if h.role == 'trellis' else self._inc()
+        # only a disk remembers who it was; a process without one is a new incarnation each time
+        if h.role == 'tend' or h.bare:
+            h.disk = Disk(self._inc())
+        inc = h.disk.inc
         h.node = h.build(h, inc, random.Random(self.rng.getrandbits(64)), *self.clocks(h))
         self.say(name, 'start')
         self._tick(h, h.life)
@@ -201,9 +204,14 @@
             return
         if self.loss and self.rng.random() < self.loss:
             return
-        self._post(c, h.name, pack(knd, doc))
+        peer = h.node.b.links.get(dst)
+        seq = speaks(knd, min(peer['proto'] if peer else 1, h.node.b.proto))
+        if not seq:
+            return
+        raw = pack(knd, doc, seq)
+        self._post(c, h.name, raw)
         if self.dup and self.rng.random() < self.dup:
-            self._post(c, h.name, pack(knd, doc))
+            self._post(c, h.name, raw)
 
     def _post(self, c, src, raw):
         dst = c.other(src)
@@ -234,7 +242,8 @@
     def _deliver(self, life, h, src, raw):
         if h.life != life:
             return
-        knd, doc = unpack(raw)
+        # an earlier release would drop what it can't read; ours must not send it such
+        knd, doc = unpack(raw, h.node.b.proto if h.node else 99)
 
         def act():
             if src == h.name or src in h.node.b.links:
@@ -253,7 +262,9 @@
 
         def act():
             h.disk.write(grp, bat)
-            c = next(x for x in h.node.ctl if getattr(x, 'grp', '') == grp)
+            c = next((x for x in h.node.ctl if getattr(x, 'grp', '') == grp and hasattr(x, 'synced')), None)
+            if c is None:
+                return
             h.node.b.now, h.node.b.wall = self.clocks(h)
             c.synced(bat.num, self.t - beg)
         self._do(h, act)
--- a/asterwharf/trellis/main.py
+++ b/asterwharf/trellis/main.py
@@ -3,6 +3,7 @@
 from asterwharf.base.command import settle
 from asterwharf.clock.boot import boot_ms, wall_ms
 from asterwharf.trellis import node
+from asterwharf.view.chair import leave
 from asterwharf.wire.daemon import Daemon, rng, run
 
 
@@ -10,7 +11,7 @@
     """A core node with its disk."""
 
     def idle(self):
-        return node.leave(self.node)
+        return leave(self.node)
 
 
 def start(st, path, over, cuts):
--- a/asterwharf/view/chair.py
+++ b/asterwharf/view/chair.py
@@ -2,17 +2,19 @@
 
 from asterwharf.base.board import Controller
 from asterwharf.view.seat import HOLDER, Seat
-from asterwharf.wire.schema import pack
+from asterwharf.wire.schema import pack, speaks
 
 
 class Chair(Controller):
     """Sits for this process in one group; other controllers order and read through it."""
 
-    __slots__ = ('grp', 'mac', 'nxt', 'seat', 'then')
+    __slots__ = ('among', 'grp', 'mac', 'nxt', 'protos', 'seat', 'then')
     hears = ('sound', 'sounded', 'canvass', 'backed', 'extend', 'extended', 'snap', 'snapped', 'succeed', 'learn')
 
-    def __init__(self, b, grp, mac, saved):
+    def __init__(self, b, grp, mac, saved, among=()):
         super().__init__(b)
+        # where the seats are; without a list, on the core nodes
+        self.among, self.protos = frozenset(among), {b.me: b.proto}
         self.grp, self.mac, self.then, self.nxt = grp, mac, {}, 0
         self.seat = Seat(grp, b.me, b.inc, b.set.view, b.rng, mac, saved, b.now)
 
@@ -44,7 +46,9 @@
     def order(self, knd, doc, then=None):
         """Orders a change; `then` gets (op, result), or None when its fate is not known."""
         self.nxt += 1
-        if not self.seat.propose(pack(knd, doc), self.nxt):
+        # a change must be readable by every seat, also in the middle of a roll-out
+        seq = speaks(knd, min(self.protos.get(s, 1) for s in self.seat.log.seats or [self.b.me]))
+        if not seq or not self.seat.propose(pack(knd, doc, seq), self.nxt):
             return False
         self.then[self.nxt] = then
         return True
@@ -64,7 +68,9 @@
         self.seat.synced(num, took, self.b.now)
 
     def tick(self):
-        self.seat.peers = {p for p, h in self.b.links.items() if h['role'] == 'trellis'}
+        lnk = self.b.links
+        self.seat.peers = {p for p, h in lnk.items() if (p in self.among if self.among else h['role'] == 'trellis')}
+        self.protos.update((p, h['proto']) for p, h in lnk.items())
         self.seat.tick(self.b.now, self.b.wall)
 
     def flush(self):
@@ -90,3 +96,16 @@
             self.b.holders[self.grp] = (self.b.me, s.view)
         elif s.holder:
             self.b.holders[self.grp] = (s.holder, s.view)
+
+
+def chairs(node):
+    return {c.grp: c for c in node.ctl if isinstance(c, Chair)}
+
+
+def leave(node):
+    """Hands over every duty; True when nothing is held here any more."""
+    left = [c for c in chairs(node).values() if c.seat.ten is not None and len(c.seat.log.seats) > 1]
+    for c in left:
+        if not c.seat.ten.heir:
+            c.seat.hand_over()
+    return not left
--- a/asterwharf/wire/frame.py
+++ b/asterwharf/wire/frame.py
@@ -3,14 +3,18 @@
 import struct
 
 from asterwharf.wire import kinds  # noqa: F401  declares the kinds
-from asterwharf.wire.schema import Alien, pack, unpack
+from asterwharf.wire.schema import PROTO, Alien, pack, speaks, unpack
 
 LEN = struct.Struct('>I')
 MOST = 64 << 20
 
 
-def frame(knd, doc):
-    raw = pack(knd, doc)
+def frame(knd, doc, proto=PROTO):
+    """One frame as a peer of that protocol can read it; nothing where it knows no such kind."""
+    seq = speaks(knd, min(proto, PROTO))
+    if not seq:
+        return b''
+    raw = pack(knd, doc, seq)
     return LEN.pack(len(raw)) + raw
 
 
--- a/asterwharf/wire/kinds.py
+++ b/asterwharf/wire/kinds.py
@@ -3,6 +3,7 @@
 from asterwharf.wire.schema import kind
 
 _NODE = {'name': 's', 'role': 's', 'addr': 's', 'zone': 's', 'http': 's', 'inc': 's'}
+_DIR = {'k': 's', 'op': 'l', 'v': 'y'}
 _STAMP = {'op': 'l', 'view': 'l'}
 _ROUND = {'task': 's', 'round': 'l'}
 _ENTRY = {'op': 'l', 'view': 'l', 'kind': 's', 'body': 'y'}
@@ -29,8 +30,13 @@
 # --- errands and news
 kind(30, 'errand', {'id': 's', 'grp': 's', 'op': 's', 'args': 'j', 'ttl': 'l', 'hops': 'l'})
 kind(31, 'returned', {'id': 's', 'code': 's', 'body': 'j', 'hint': 's'})
-kind(32, 'ask', {'id': 's', 'sequence': 'l', 'wait': 'l'})
-kind(33, 'news', {'id': 's', 'sequence': 'l', 'doc': 'y', 'ok': 'b', 'hint': 's'})
+_ASK = {'id': 's', 'sequence': 'l', 'wait': 'l'}
+kind(32, 'ask', _ASK, (2, dict(_ASK, dsequence='l')))
+_NEWS = {'id': 's', 'sequence': 'l', 'doc': 'y', 'ok': 'b', 'hint': 's'}
+kind(33, 'news', _NEWS, (2, dict(_NEWS, rows=[_DIR])))
+# copies of the directory, compared by digests over ranges
+kind(34, 'digests', (2, {'sums': 'S', 'sequence': 'l', 'back': 'b'}))
+kind(35, 'mend', (2, {'rows': [_DIR], 'sequence': 'l', 'doc': 'y'}))
 # --- the minion link, agent <-> edge <-> holder
 kind(40, 'auth', {'token': 's'})
 kind(41, 'authed', {'ok': 'b'})
@@ -55,6 +61,8 @@
 # --- changes of the core group
 kind(100, 'c_config', {'sequence': 'l', 'base': 'l', 'by': 's', 'at': 'l', 'doc': 'y'})
 kind(101, 'c_node', dict(_NODE, sight='b'))
+kind(102, 'c_cell', (2, {'name': 's', 'on': 'b', 'seats': 'j'}))
+kind(103, 'c_own', (2, {'what': 's', 'was': 's', 'cell': 's'}))
 # --- changes of a cell group
 kind(120, 't_submit', {'tenant': 's', 'id': 's', 'sum': 's', 'spec': 'j', 'at': 'l'})
 kind(121, 't_cancel', {'tenant': 's', 'id': 's', 'at': 'l'})
@@ -69,6 +77,12 @@
 kind(129, 't_evict', {'at': 'l', 'why': 's', 'items': [_ROUND]})
 kind(130, 't_gone', {'minion': 's', 'at': 'l'})
 kind(131, 't_forget', {'keys': 'S'})
+# hand-over of tenants and minions between cells
+kind(132, 't_leave', (2, {'tenant': 's', 'to': 's'}))
+kind(133, 't_release', (2, {'tenant': 's', 'to': 's'}))
+kind(134, 't_import', (2, {'tenant': 's', 'was': 's', 'part': 'l', 'last': 'b', 'rows': [{'v': 'y'}]}))
+kind(135, 't_handed', (2, {'what': 's'}))
+kind(136, 't_yield', (2, {'minion': 's', 'to': 's'}))
 # --- rows on disk
 _TASK = {'name': 's', 'state': 's', 'round': 'l', 'used': 'l', 'tries': 'l', 'minion': 's', 'after': 'S', 'due': 'l',
          'cores': 'd', 'gpus': 'l', 'mem': 'l', 'gang': 's', 'run': 'j', 'why': 's', 'pre': 's', 'want': 's',
@@ -78,4 +92,7 @@
 kind(141, 'r_minion', {'name': 's', 'inc': 's', 'edge': 's', 'zone': 's', 'link': 'l', 'up': 'b', 'drain': 'b',
                        'opdrain': 'b', 'cores': 'd', 'gpus': 'l', 'mem': 'l', 'labels': 'j', 'why': 's', 'at': 'l',
                        'strays': [dict(_ROUND, cores='d', gpus='l', mem='l')]})
-kind(142, 'r_meta', {'sequence': 'l', 'emptied': 'S', 'gone': 'S'})
+_META = {'sequence': 'l', 'emptied': 'S', 'gone': 'S'}
+kind(142, 'r_meta', _META, (2, dict(_META, leaving='j', yielded='j', owned='j')))
+kind(143, 'r_dir', (2, _DIR))
+kind(144, 'r_parcel', (2, {'tenant': 's', 'to': 's', 'rows': [{'v': 'y'}]}))
--- a/asterwharf/wire/links.py
+++ b/asterwharf/wire/links.py
@@ -26,7 +26,9 @@
         self.push()
 
     def add(self, knd, doc):
-        self.buf.append(frame(knd, doc))
+        # until it has greeted, a peer is spoken to as the oldest would be
+        h = self.dmn.b.links.get(self.peer)
+        self.buf.append(frame(knd, doc, h['proto'] if h else 1))
 
     def push(self):
         if self.buf and not self.cut_at:
--- a/asterwharf/wire/schema.py
+++ b/asterwharf/wire/schema.py
@@ -12,6 +12,8 @@
 
 HEAD = struct.Struct('>HB')
 KINDS, IDS = {}, {}
+# what this release speaks; a peer's is in its hello
+PROTO = 2
 
 _PLAIN = {'s': 'string', 'l': 'long', 'd': 'double', 'y': 'bytes', 'b': 'boolean', 'j': 'string',
           'S': {'type': 'array', 'items': 'string'}}
@@ -44,13 +46,20 @@
 
 
 class Kind:
-    """One kind of record: its schemas by sequence, and which fields hold JSON."""
+    """One kind of record: its schemas by sequence, since which protocol each, and its newest fields."""
 
-    __slots__ = ('all', 'fds', 'id', 'nam', 'seq')
+    __slots__ = ('all', 'fds', 'id', 'nam', 'seq', 'since')
 
     def __init__(self, kid, nam, *seqs):
-        self.id, self.nam, self.seq, self.fds = kid, nam, len(seqs), seqs[-1]
-        self.all = {i + 1: fastavro.parse_schema(_rec(nam, f)) for i, f in enumerate(seqs)}
+        # each sequence is its fields, or (the first protocol that knows it, its fields)
+        seqs = [q if isinstance(q, tuple) else (i + 1, q) for i, q in enumerate(seqs)]
+        self.id, self.nam, self.seq, self.fds = kid, nam, len(seqs), seqs[-1][1]
+        self.since = [p for p, _ in seqs]
+        self.all = {i + 1: fastavro.parse_schema(_rec(nam, f)) for i, (_, f) in enumerate(seqs)}
+
+    def known(self, proto):
+        """The newest sequence that a peer of this protocol can read; 0 where it knows no such kind."""
+        return sum(p <= proto for p in self.since)
 
 
 def kind(kid, nam, *seqs):
@@ -95,8 +104,13 @@
     return buf.getvalue()
 
 
-def unpack(raw):
-    """(kind's name, document) or Alien."""
+def speaks(nam, proto):
+    """Whether a peer of this protocol can read the kind, and in which sequence."""
+    return KINDS[nam].known(proto)
+
+
+def unpack(raw, proto=PROTO):
+    """(kind's name, document) or Alien; an older `proto` plays an earlier release."""
     if len(raw) < HEAD.size:
         raise Alien('truncated head')
     kid, seq = HEAD.unpack_from(raw)
@@ -104,7 +118,7 @@
     if k is None:
         raise Alien(f'unknown kind {kid}')
     # a newer release's record: it must have been asked to speak our sequence
-    if seq not in k.all:
+    if seq not in k.all or seq > k.known(proto):
         raise Alien(f'{k.nam}: unknown sequence {seq}, known up to {k.seq}')
     buf = io.BytesIO(raw)
     buf.seek(HEAD.size)
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -2,6 +2,7 @@
 
 from asterwharf.sim.fleet import Fleet
 from asterwharf.sim.world import Disk
+from asterwharf.view.chair import leave
 
 
 def up(seed=1, **kws):
@@ -100,13 +101,12 @@
 
 
 def test_a_planned_stop_names_its_successor_faster_than_a_majority_would():
-    from asterwharf.trellis import node
     gaps = {}
     for how in ('named', 'majority'):
         f = up(10)
         n, beg = f.holder('commons'), f.w.t
         if how == 'named':
-            f.w._do(f.w.hosts[n], lambda: node.leave(f.node(n)))
+            f.w._do(f.w.hosts[n], lambda: leave(f.node(n)))
         else:
             f.w.kill(n)
         assert f.w.until(lambda: f.holder('commons') not in ('', n), 20000, 10)
