Tell liveness apart from syncs only where the disk is slow

Cause: every extend with entries was answered twice, at once and after the sync; on a disk of 1-4 ms the first word gains nothing. Conclusion: kept; a slow disk still gets the first word.

--- a/asterwharf/view/seat.py
+++ b/asterwharf/view/seat.py
@@ -291,8 +291,8 @@
     def _say_extended(self, src, m, ok, op):
         body = {'grp': self.grp, 'view': self.view, 'beat': m['beat'], 'ok': ok, 'op': op, 'inc': self.inc,
                 'wall': self.wall, 'slow': self.slow}
-        # liveness is told at once; what is synced is told when it is
-        if ok and op > self.desk.safe:
+        # liveness is told at once where the disk would hold it up; what is synced is told when it is
+        if ok and op > self.desk.safe and self.lag > self.cfg.silence_ms * self.cfg.beat_ratio / 4:
             self.desk.say(src, 'extended', dict(body, op=min(self.desk.safe, op)))
             body['beat'] = 0
         self.desk.vow(src, 'extended', body)
