Confirm a holder before a no, not before a yes

Cause: every submission waited for a beat of the majority before it was ordered, though a delivery is its own proof and a repeat is answered from what is delivered.

--- a/asterwharf/scheduler/clerk.py
+++ b/asterwharf/scheduler/clerk.py
@@ -160,31 +160,17 @@
         return f"{a['tenant']}/{a['id']}"
 
     def do_submit(self, a, give, cell):
-        # the identifier is looked up first: an earlier sending may have been taken
-        self._sure(cell, give, lambda: self._submit(a, give, cell))
-
-    def _submit(self, a, give, cell):
-        if self._theirs(cell, a['tenant'], give):
-            return
+        """A yes needs no confirming: it is a delivery, or follows from one. A no does."""
         mac, cfg = cell.mac, self.b.config or config.bare()
         dig = jobs.digest(a['spec'])
+        bad = self._refusal(a, dig, cell, cfg)
+        if bad is not None:
+            # a holder that was deposed may know less than its successor: it must not refuse
+            return self._sure(cell, give, lambda: give(*(self._refusal(a, dig, cell, cfg) or ('unsure', NOBODY))))
         old = mac.jobs.get(self._key(a))
         if old is not None:
-            if old.sum == dig:
-                return give('same', show.job(old))
-            return give('other_body', {'details': [f"id: {a['id']!r}"]})
-        if mac.forgot(self._key(a)):
-            return give('forgotten')
-        res = jobs.shape(a['spec'])
-        bad = res.error if res.is_error() else jobs.judge(res.ok, cfg, a['tenant'])
-        if bad:
-            return give(bad.code, {'details': bad.more})
-        ten = cfg.tenants[a['tenant']]
-        if mac.open.get(a['tenant'], 0) >= ten.max_jobs:
-            return give('tenant_full', {'retry_ms': 5000})
-        if len(cell.seat.waits) >= self.b.set.buffer:
-            return give('overload', {'retry_ms': 1000})
-        spec = {'class': res.ok.cls, 'tasks': a['spec']['tasks']}
+            return give('same', show.job(old))
+        spec = {'class': a['spec'].get('class', 'default'), 'tasks': a['spec']['tasks']}
         doc = {'tenant': a['tenant'], 'id': a['id'], 'sum': dig, 'spec': spec, 'at': cell.wall}
 
         def then(r):
@@ -193,6 +179,26 @@
             give(r)
         self._order(cell, 't_submit', doc, give, then)
 
+    def _refusal(self, a, dig, cell, cfg):
+        """(code, body) or None. The identifier goes first: an earlier sending may have been taken."""
+        mac = cell.mac
+        if not mac.ours(a['tenant'], cell.grp):
+            return 'moving', NOBODY
+        old = mac.jobs.get(self._key(a))
+        if old is not None:
+            return None if old.sum == dig else ('other_body', {'details': [f"id: {a['id']!r}"]})
+        if mac.forgot(self._key(a)):
+            return 'forgotten', None
+        res = jobs.shape(a['spec'])
+        bad = res.error if res.is_error() else jobs.judge(res.ok, cfg, a['tenant'])
+        if bad:
+            return bad.code, {'details': bad.more}
+        if mac.open.get(a['tenant'], 0) >= cfg.tenants[a['tenant']].max_jobs:
+            return 'tenant_full', {'retry_ms': 5000}
+        if len(cell.seat.waits) >= self.b.set.buffer:
+            return 'overload', {'retry_ms': 1000}
+        return None
+
     def do_job(self, a, give, cell):
         def fn():
             if self._theirs(cell, a['tenant'], give):
