--- a/asterwharf/scheduler/clerk.py
+++ b/asterwharf/scheduler/clerk.py
@@ -184,6 +184,9 @@
         mac = cell.mac
         if not mac.ours(a['tenant'], cell.grp):
             return 'moving', NOBODY
+        # after a restart this node may not have the configuration yet that the cell has seen
+        if self.b.config is None or self.b.config.sequence < mac.sequence:
+            return 'no_holder', NOBODY
         old = mac.jobs.get(self._key(a))
         if old is not None:
             return None if old.sum == dig else ('other_body', {'details': [f"id: {a['id']!r}"]})
--- a/asterwharf/scheduler/ferry.py
+++ b/asterwharf/scheduler/ferry.py
@@ -23,12 +23,12 @@
 class Ferry(Controller):
     """Sends, sends again where that is safe, and gives up in time: the last word is said at once."""
 
-    __slots__ = ('dark', 'n', 'trips', 'turn')
+    __slots__ = ('dark', 'known', 'n', 'trips', 'turn')
     hears = ('returned',)
 
     def __init__(self, b):
         super().__init__(b)
-        self.trips, self.n, self.turn, self.dark = {}, 0, 0, {}
+        self.trips, self.n, self.turn, self.dark, self.known = {}, 0, 0, {}, {}
 
     # --- which group answers
     def _group(self, op, args):
@@ -58,7 +58,7 @@
         grp = self._group(op, args) if was else grp
         # where no holder has been in reach for long, that is said at once and not when the errand's time is up
         if self.dark.get(grp, b.now) < b.now - b.set.view.silence_ms * 2 and not self._lit(grp):
-            return then('no_holder', {'retry_ms': 2000, 'details': [f'the cell {grp} is out of reach']})
+            return then('no_holder', {'retry_ms': 1000 + int(b.rng.random() * 3000), 'details': [f'the cell {grp} is out of reach']})
         self.n += 1
         t = Trip(f'{b.me}.{b.inc}.{self.n}', grp, op, args, b.now + (ttl or b.set.errand_ms), then)
         t.cell = bool(was)
@@ -118,7 +118,8 @@
             t.wait, t.maybe = False, t.maybe or d['code'] == 'unsure'
             if d['hint'] and d['hint'] != src and t.hops < 4:
                 return self._go(t, d['hint'])
-            t.to, t.next = '', self.b.now + self.b.set.view.silence_ms // 8
+            # until a holder shows itself; asking on and on would only keep it from doing so
+            t.to, t.next = '', self.b.now + int(self.b.set.view.silence_ms * (0.5 + self.b.rng.random() * 0.5))
             return
         code = d['code']
         # "not taken" is said only when no other hop can have taken it
@@ -139,8 +140,15 @@
     def tick(self):
         now = self.b.now
         for g in self.b.atlas.groups() + ['core']:
+            hld = self.b.holders.get(g)
             if self._lit(g):
                 self.dark.pop(g, None)
+                if self.known.get(g) != hld:
+                    self.known[g] = hld
+                    # a new holder: what waited goes to it, not all in one moment
+                    for t in self.trips.values():
+                        if t.grp == g and not t.to:
+                            t.next = min(t.next, now + int(self.b.rng.random() * self.b.set.view.silence_ms / 4))
             else:
                 self.dark.setdefault(g, now)
         for t in list(self.trips.values()):
--- a/asterwharf/sim/__main__.py
+++ b/asterwharf/sim/__main__.py
@@ -6,7 +6,7 @@
 
 from cyclopts import App
 
-from asterwharf.sim import cells, scenarios  # noqa: F401  cells registers its own
+from asterwharf.sim import cells, operators, scenarios  # noqa: F401  cells registers its own
 
 app = App(name='asterwharf.sim', help='The seeded simulator.', help_format='plaintext')
 
--- a/asterwharf/sim/fleet.py
+++ b/asterwharf/sim/fleet.py
@@ -31,7 +31,7 @@
         self.edges = [f'e{i}' for i in range(edges)]
         self.tends = [f'm{i}' for i in range(minions)]
         # what a scenario wants to be looked at when all is over: functions that give '' or what was amiss
-        self.size, self.mins, self.checks, self.protos, self.proto = size, {}, [], {}, proto
+        self.size, self.mins, self.checks, self.protos, self.proto, self.wrong = size, {}, [], {}, proto, None
         tok = token
         for i, n in enumerate(self.core):
             self._host(n, 'trellis', f'z{i % 3 + 1}', link, view, tok, st)
@@ -45,7 +45,7 @@
         w = self.w
 
         def build(h, inc, rng, now, wall):
-            s = Settings(name=n, bind=h.addr, seeds=self.seeds, zone=zone, core_size=len(self.core), token=tok,
+            s = Settings(name=n, bind=h.addr, seeds=self.wrong or self.seeds, zone=zone, core_size=len(self.core), token=tok,
                          link=link, view=view, poll_ms=4000)
             s = replace(s, **st)
             proto = self.protos.get(n, self.proto)
--- a/asterwharf/sim/world.py
+++ b/asterwharf/sim/world.py
@@ -121,6 +121,14 @@
     def _inc(self):
         return f'{self.rng.getrandbits(64):016x}'
 
+    def readdress(self, name):
+        """The machine comes back somewhere else."""
+        h = self.hosts[name]
+        self.addrs.pop(h.addr, None)
+        self.n += 1
+        h.addr = f'10.1.{self.n // 250 % 250}.{self.n % 250}:7000'
+        self.addrs[h.addr] = name
+
     def clocks(self, h):
         return self.t + h.skew, self.base + self.t + h.wall
 
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -8,7 +8,7 @@
 
 from cyclopts import App
 
-from asterwharf.sim import cells, scenarios  # noqa: F401
+from asterwharf.sim import cells, operators, scenarios  # noqa: F401
 from asterwharf.sim.fleet import Fleet
 from asterwharf.view.chair import leave
 
--- a/tests/breaks.py
+++ b/tests/breaks.py
@@ -232,3 +232,23 @@
     """Policies of eviction are not asked."""
     mp.setattr(placer, 'victims', lambda *a: None)
 
+
+
+@breaks('not in force within 2 s', 'config_prompt', 1)
+def news_late(mp):
+    """Askers are answered when their time is up, not when there is news."""
+    from asterwharf.scheduler import news
+    mp.setattr(news.Crier, '_look', lambda s, src: None)
+    mp.setattr(news.Crier, 'on_ask', lambda s, src, d: s.askers.update({src: (d['id'], 0, s.b.now + d['wait'], 0)}))
+
+
+@breaks('kept work was started', 'kept_unattended', 1)
+def keep_ignored(mp):
+    """Every class is started anew after its grace."""
+    mp.setattr(steward.Steward, '_kept', lambda s, key: False)
+
+
+@breaks('nothing started for', 'last_fault', 1)
+def slow_to_elect(mp):
+    """Seats wait long before they stand."""
+    mp.setattr(seat.Seat, '_rest', lambda s: setattr(s, 'due', s.now + 9000))
