--- a/asterwharf/base/board.py
+++ b/asterwharf/base/board.py
@@ -23,6 +23,11 @@
         # the cell directory's copy, the cells that have a seat here, how to load what a group had synced
         self.atlas, self.cells, self.load, self.node, self.proto, self.adopt, self.history = None, {}, None, None, 2, None, None
 
+    @property
+    def sequence(self):
+        """The sequence of the configuration in force here."""
+        return self.config.sequence if self.config else 0
+
     def send(self, dst, knd, **doc):
         self.out.append(('send', dst, knd, doc))
         self.count[f'sent.{knd}'] += 1
--- a/asterwharf/door/routes.py
+++ b/asterwharf/door/routes.py
@@ -85,7 +85,7 @@
 def _status(app, e):
     b = app.b
     out = {'node': b.me, 'role': b.role, 'zone': b.zone, 'inc': b.inc, 'leaving': b.leaving,
-           'sequence': b.config.sequence if b.config else 0, 'fit': app.fit() == '',
+           'sequence': b.sequence, 'fit': app.fit() == '',
            'holders': {g: {'name': n, 'view': v} for g, (n, v) in b.holders.items()},
            'links': sorted(b.links), 'errands': len(app.ferry.trips), 'counts': dict(sorted(b.count.items()))}
     for c in app.node.ctl:
--- a/asterwharf/fleet/faults.py
+++ b/asterwharf/fleet/faults.py
@@ -61,10 +61,8 @@
     calls.later(4000, live.start, n)
 
 
-@fault
-def edge_restarted(live, calls, r):
-    """An edge is restarted in good order."""
-    n = r.choice(live.edges)
+def _restart(live, calls, n):
+    """SIGTERM, and a start once it has left by itself."""
     p = live.procs.pop(n)
     p.terminate()
 
@@ -76,17 +74,15 @@
 
 
 @fault
-def core_restarted(live, calls, r):
-    """A core node is restarted in good order, the holder first of all."""
-    n = _holder(live)
-    p = live.procs.pop(n)
-    p.terminate()
+def edge_restarted(live, calls, r):
+    """An edge is restarted in good order."""
+    _restart(live, calls, r.choice(live.edges))
 
-    def again():
-        if p.poll() is None:
-            return calls.later(200, again)
-        live.start(n)
-    calls.later(200, again)
+
+@fault
+def core_restarted(live, calls, r):
+    """The commons holder is restarted in good order."""
+    _restart(live, calls, _holder(live))
 
 
 @fault
--- a/asterwharf/mend/mender.py
+++ b/asterwharf/mend/mender.py
@@ -17,10 +17,6 @@
         super().__init__(b)
         self.due, self.held = b.now + int(b.rng.random() * b.set.view.silence_ms * 2), (0, b'')
 
-    @property
-    def seq(self):
-        return self.b.config.sequence if self.b.config else 0
-
     def tick(self):
         b = self.b
         if b.now < self.due:
@@ -31,17 +27,17 @@
             self._show(b.rng.choice(sibs), True)
 
     def _show(self, peer, back):
-        self.b.send(peer, 'digests', sums=sums(self.b.atlas.rows), sequence=self.seq, back=back)
+        self.b.send(peer, 'digests', sums=sums(self.b.atlas.rows), sequence=self.b.sequence, back=back)
 
     def on_digests(self, src, d):
         b = self.b
         rows = [{'k': k, 'op': op, 'v': v} for k, (op, v) in sorted(differing(b.atlas.rows, d['sums']).items())]
-        doc = b.config.packed if b.config and self.seq > d['sequence'] else b''
+        doc = b.config.packed if b.config and self.b.sequence > d['sequence'] else b''
         if rows or doc:
             b.count['mends'] += 1
-            b.send(src, 'mend', rows=rows, sequence=self.seq if doc else 0, doc=doc)
+            b.send(src, 'mend', rows=rows, sequence=self.b.sequence if doc else 0, doc=doc)
         # it may have what we lack, too
-        if d['back'] and (rows or d['sequence'] > self.seq):
+        if d['back'] and (rows or d['sequence'] > self.b.sequence):
             self._show(src, False)
 
     def on_mend(self, src, d):
@@ -51,5 +47,5 @@
             return
         if b.atlas.merge([(r['k'], r['op'], r['v']) for r in d['rows']]):
             b.count['mended'] += 1
-        if d['doc'] and d['sequence'] > self.seq:
+        if d['doc'] and d['sequence'] > self.b.sequence:
             b.adopt(d['sequence'], d['doc'])
--- a/asterwharf/scheduler/clerk.py
+++ b/asterwharf/scheduler/clerk.py
@@ -71,13 +71,19 @@
                         'config': config.swell(c['doc']) if c['doc'] else {}})
         self._sure(self.core, give, fn)
 
-    def do_config_put(self, a, give, cell):
-        res = config.check(a['config'])
+    def _good(self, raw, give):
+        """The checked configuration, or None once the mistakes are given."""
+        res = config.check(raw)
         if res.is_error():
             return give(res.error.code, {'details': res.error.more})
         bad = self._seats(res.ok)
         if bad:
             return give('bad_config', {'details': bad})
+        return res.ok
+
+    def do_config_put(self, a, give, cell):
+        if self._good(a['config'], give) is None:
+            return
         doc = {'sequence': 0, 'base': a['base'], 'by': a.get('by', ''), 'at': self.core.wall,
                'doc': config.squeeze(a['config'])}
 
@@ -98,13 +104,9 @@
 
     def do_judge(self, a, give, cell):
         """Checks a configuration and says where each class of task could land, without putting it in force."""
-        res = config.check(a['config'])
-        if res.is_error():
-            return give(res.error.code, {'details': res.error.more})
-        bad = self._seats(res.ok)
-        if bad:
-            return give('bad_config', {'details': bad})
-        give('ok', {'policies': sorted(res.ok.policies), 'cells': sorted(res.ok.cells)})
+        got = self._good(a['config'], give)
+        if got is not None:
+            give('ok', {'policies': sorted(got.policies), 'cells': sorted(got.cells)})
 
     def _seats(self, cfg):
         """A cell's seats must be nodes that are known."""
--- a/asterwharf/scheduler/news.py
+++ b/asterwharf/scheduler/news.py
@@ -71,10 +71,6 @@
         self.n, self.id, self.due, self.to = 0, '', 0, ''
         b.adopt = lambda seq, doc: adopt(b, seq, doc)
 
-    @property
-    def seq(self):
-        return self.b.config.sequence if self.b.config else 0
-
     def tick(self):
         b = self.b
         if b.now < self.due:
@@ -86,7 +82,7 @@
         self.to = hld if hld in core else core[self.n % len(core)]
         self.n += 1
         self.id = f'{b.inc}.{self.n}'
-        b.send(self.to, 'ask', id=self.id, sequence=self.seq, dsequence=b.atlas.top, wait=b.set.poll_ms)
+        b.send(self.to, 'ask', id=self.id, sequence=b.sequence, dsequence=b.atlas.top, wait=b.set.poll_ms)
         self.due = b.now + b.set.poll_ms + b.set.view.silence_ms * 2
 
     def lost(self, peer):
--- a/asterwharf/scheduler/steward.py
+++ b/asterwharf/scheduler/steward.py
@@ -71,7 +71,7 @@
             tie.stamp, tie.recv = d['stamp'], self.b.now
             for k in [k for k in self.sent if k[0] == d['minion']]:
                 del self.sent[k]
-            s = self.b.config.sequence if self.b.config else 0
+            s = self.b.sequence
             self.b.send(src, 'ack', minion=d['minion'], link=res['link'], nonce=d['nonce'], ok=True, why='',
                         settings=self._terms(), sequence=s, emptied=d['zone'] in self.b.emptied,
                         record=[dict(i, need=self._need(self.mac.tasks[i['task']])) if i['need'] else i
@@ -108,7 +108,7 @@
                 return
             m = self.mac.minions[d['minion']]
             self.b.send(src, 'beaten', minion=m.name, link=m.link, n=d['n'], drain=m.opdrain,
-                        sequence=self.b.config.sequence if self.b.config else 0,
+                        sequence=self.b.sequence,
                         emptied=m.zone in self.b.emptied)
         self.cell.sure(sure)
 
@@ -282,7 +282,7 @@
         b.count[f'order.{what}'] += 1
         b.send(tie.edge, 'order', minion=nam, link=m.link, what=what, task=key, round=rnd, stamp=tie.stamp,
                need=self._need(t) if t else None, run=t.run if t and what == 'start' else None,
-               sequence=b.config.sequence if b.config else 0)
+               sequence=b.sequence)
 
 
 __all__ = ['RUNNING', 'Steward']
