Judge minions by what comes of their work: a suspect one gets a probe at a time

Cause: a minion that fails everything at once is always the emptiest, so work streamed into it; avoiding it for the failed task alone did not help the next.

--- a/asterwharf/scheduler/cell.py
+++ b/asterwharf/scheduler/cell.py
@@ -1,6 +1,7 @@
 """The state machine of a cell: jobs, claims and minions, changed only by delivered changes. Pure."""
 
 import hashlib
+from collections import deque
 
 from asterwharf.scheduler.claims import Claims
 from asterwharf.scheduler.handover import Handover
@@ -24,11 +25,12 @@
 class Cell(Claims, Handover):
     """Applies changes in the group's one order; the same on every seat."""
 
-    __slots__ = ('by', 'dirty', 'emptied', 'floor', 'gone', 'jobs', 'leaving', 'minions', 'moved', 'open', 'owned', 'parcels',
-                 'reads', 'sequence', 'tasks', 'yielded')
+    __slots__ = ('by', 'dirty', 'emptied', 'floor', 'gone', 'jobs', 'leaving', 'minions', 'open', 'owned', 'parcels',
+                 'reads', 'seen', 'sequence', 'tasks', 'yielded')
 
     def __init__(self):
-        self.moved, self.reads, self.floor = [], PROTO, PROTO
+        # the latest outcomes, for the holder's judgement of its minions; on siblings they only roll over
+        self.seen, self.reads, self.floor = deque(maxlen=500), PROTO, PROTO
         self.load({})
 
     # --- rows on disk
@@ -121,7 +123,6 @@
         if new in (READY, CANCELLED):
             t.want, t.pre = '', ''
         self.dirty.add(f'job:{t.job.key}')
-        self.moved.append(t.key)
         if t.job.over and not was:
             t.job.end = at
             self.open[t.job.tenant] -= 1
@@ -257,6 +258,7 @@
     def outcome(self, t, ok, why, at):
         """The current round's outcome, the only one that decides."""
         self.note(t, 'done' if ok else f'failed: {why}')
+        self.seen.append((t.minion, t.key, ok))
         if ok:
             self.move(t, DONE, why, at)
             return self._free(t.job, at)
--- a/asterwharf/scheduler/claims.py
+++ b/asterwharf/scheduler/claims.py
@@ -151,6 +151,7 @@
         if wht not in ENDS:
             return
         if wht == 'refused':
+            self.seen.append((m.name, t.key, False))
             t.avoid = (t.avoid + [m.name])[-3:]
         self.lost(t, f"{wht}: {i['why']}" if i['why'] else wht, at)
 
--- a/asterwharf/scheduler/clerk.py
+++ b/asterwharf/scheduler/clerk.py
@@ -240,7 +240,8 @@
 
     def do_minions(self, a, give, cell):
         self._sure(cell, give, lambda: give('ok', {
-            'minions': [show.minion(m) for _, m in sorted(cell.mac.minions.items())]}))
+            'minions': [dict(show.minion(m), suspect=n in self.b.cells[cell.grp].placer.weak)
+                        for n, m in sorted(cell.mac.minions.items())]}))
 
     def do_claims(self, a, give, cell):
         def fn():
--- a/asterwharf/scheduler/placer.py
+++ b/asterwharf/scheduler/placer.py
@@ -2,6 +2,7 @@
 
 from asterwharf.base.board import Controller
 from asterwharf.scheduler.evict import evicting, hold_room, priority, victims
+from asterwharf.scheduler.fitness import Fitness
 from asterwharf.scheduler.model import BUSY, FINAL, READY, WAITING
 
 MOST = 400
@@ -12,19 +13,21 @@
 class Room:
     """A working copy of one minion's room while a turn's placement is worked out."""
 
-    __slots__ = ('c', 'g', 'held', 'm', 'x')
+    __slots__ = ('c', 'g', 'held', 'm', 'took', 'x')
 
     def __init__(self, m):
-        self.m, self.held = m, False
+        self.m, self.held, self.took = m, False, 0
         self.c, self.g, self.x = m.free
 
     def fits(self, t):
         return t.cores <= self.c + 1e-9 and t.gpus <= self.g and t.mem <= self.x
 
     def take(self, t):
+        self.took += 1
         self.c, self.g, self.x = self.c - t.cores, self.g - t.gpus, self.x - t.mem
 
     def back(self, t):
+        self.took -= 1
         self.c, self.g, self.x = self.c + t.cores, self.g + t.gpus, self.x + t.mem
 
     @property
@@ -35,11 +38,11 @@
 class Placer(Controller):
     """Takes urgent classes first, then the tenant that has least for its weight."""
 
-    __slots__ = ('busy', 'cell', 'due', 'since')
+    __slots__ = ('busy', 'cell', 'due', 'fit', 'since', 'weak')
 
     def __init__(self, b, cell):
         super().__init__(b)
-        self.cell, self.busy, self.due, self.since = cell, False, 0, {}
+        self.cell, self.busy, self.due, self.since, self.fit, self.weak = cell, False, 0, {}, Fitness(), set()
 
     @property
     def mac(self):
@@ -121,10 +124,13 @@
     def _land(self, t, rooms, cfg):
         pol, best = cfg.policy(t.job.tenant), None
         for r in rooms:
+            # a suspect minion gets one probe at a time
+            if r.m.name in self.weak and (r.m.load or r.took):
+                continue
             if r.held or not r.fits(t) or self.allowed(t, r.m, cfg):
                 continue
             rate = pol.score(self.world(t, r.m, cfg)) if pol else 0.0
-            key = (r.m.name not in t.avoid, rate, r.slack)
+            key = (r.m.name not in t.avoid, r.m.name not in self.weak, rate, r.slack)
             if best is None or key > best[0]:
                 best = (key, r)
         return best[1] if best else None
@@ -152,6 +158,7 @@
         self.due = b.now + int(b.set.view.silence_ms * 0.02)
         at = self.cell.wall
         rooms = [Room(m) for m in self.mac.minions.values() if m.open and m.zone not in cfg.emptied]
+        self._judge()
         todo = self._bundles(cfg, at)
         self.since = {k: v for k, v in self.since.items() if k in self.mac.by[READY]}
         bundles, none, n = [], set(), 0
@@ -179,6 +186,15 @@
         if bundles:
             self._send(bundles, at)
 
+    def _judge(self):
+        self.fit.learn(self.mac.seen)
+        self.weak = self.fit.suspects(self.mac.minions)
+        new, old = self.fit.news(self.weak)
+        for m in new:
+            self.b.log('warning', 'alarm', alarm='minion_suspect', minion=m, failed=len(self.fit.bad[m]))
+        for m in old:
+            self.b.log('info', 'minion cleared', minion=m)
+
     def _take(self, got, bundles):
         bundles.append({'items': [{'task': o.key, 'round': o.round + 1, 'minion': r.m.name} for o, r in got]})
 
--- a/asterwharf/sickle/main.py
+++ b/asterwharf/sickle/main.py
@@ -76,7 +76,7 @@
 def minions(*, at: At = None, js: Js = False):
     """Every known minion, its node, its room."""
     show(call(doors(at), 'GET', '/v1/minions')[1], 'minions',
-          ('name', 'zone', 'edge', 'link_round', 'up', 'draining', 'cores', 'gpus', 'free.cores', 'free.gpus', 'tasks',
+          ('name', 'zone', 'edge', 'link_round', 'up', 'draining', 'suspect', 'cores', 'gpus', 'free.cores', 'free.gpus', 'tasks',
            'strays', 'why'), js)
 
 
