--- a/asterwharf/base/codes.py
+++ b/asterwharf/base/codes.py
@@ -66,7 +66,7 @@
 _c(501, 'corrupt', 500, 'The data folder is corrupt.', 'See the runbook "disk wiped".')
 _c(502, 'policy_trouble', 500, 'A placement policy failed while judging.', 'The candidate counts as "no"; correct the policy.')
 _c(503, 'no_reach', 500, 'No node could be reached.', 'Check addresses and that the fleet runs.')
-_c(504, 'version_clash', 500, 'The other end speaks no schema we know.', 'Upgrade one release at a time.')
+_c(504, 'no_bind', 500, 'An address could not be bound.', 'See who listens there already.')
 
 
 class Trouble(Plot):
--- a/asterwharf/base/command.py
+++ b/asterwharf/base/command.py
@@ -68,7 +68,11 @@
             print('settings are good')
             return
         logs.setup(res.ok.name, res.ok.log_level)
-        sys.exit(fn(res.ok, settings, over, test_cuts))
+        try:
+            sys.exit(fn(res.ok, settings, over, test_cuts))
+        except OSError as e:
+            logs.say('error', 'alarm', alarm='no_bind', code=504, bind=res.ok.bind, http=res.ok.http, why=str(e))
+            sys.exit(TABLE['no_bind'].exit)
 
     cmd.__name__ = name
     return cmd
--- a/asterwharf/link/agent.py
+++ b/asterwharf/link/agent.py
@@ -55,7 +55,10 @@
     # --- dialling
     def _targets(self):
         b = self.b
-        doors = [r['addr'] for r in b.nodes.values() if r['role'] == 'furrow']
+        rows = [r for r in b.nodes.values() if r['role'] == 'furrow']
+        # every other round the own zone only: a cut-off cell's agents must not try all the world first
+        near = [r for r in rows if r['zone'] == b.zone] if self.att % 2 else []
+        doors = [r['addr'] for r in near or rows]
         # after a failure rather another door than the same one again
         return [a for a in doors if a != self.addr] or doors or list(b.set.seeds)
 
--- a/asterwharf/sickle/common.py
+++ b/asterwharf/sickle/common.py
@@ -3,6 +3,7 @@
 import json
 import os
 import sys
+from pathlib import Path
 from typing import Annotated, Optional
 
 from cyclopts import Parameter
@@ -12,6 +13,8 @@
 
 At = Annotated[Optional[str], Parameter(name='--at', help='addresses of doors, comma separated; else $ASTERWHARF_AT')]
 Js = Annotated[bool, Parameter(name='--json', help='JSON instead of a table', negative=())]
+# `-` is standard input
+File = Annotated[Path, Parameter(allow_leading_hyphen=True)]
 
 
 def doors(at):
--- a/asterwharf/sickle/config.py
+++ b/asterwharf/sickle/config.py
@@ -4,13 +4,12 @@
 import json
 import os
 import sys
-from pathlib import Path
 from typing import Optional
 
 from cyclopts import App
 
 from asterwharf.sickle.ask import Refused, call
-from asterwharf.sickle.common import At, Js, doors, read, show
+from asterwharf.sickle.common import At, File, Js, doors, read, show
 from asterwharf.sickle.show import table
 
 config = App(name='config', help='The whole configuration.')
@@ -26,7 +25,7 @@
 
 
 @config.command(name='put')
-def config_put(file: Path, *, base: Optional[int] = None, at: At = None):
+def config_put(file: File, *, base: Optional[int] = None, at: At = None):
     """Replaces the whole configuration by FILE (JSON; - for standard input).
 
     Parameters
@@ -43,7 +42,7 @@
 
 
 @config.command(name='check')
-def config_check(file: Path, *, at: At = None):
+def config_check(file: File, *, at: At = None):
     """Checks FILE as the core would, without putting it in force."""
     _, got = call(doors(at), 'POST', '/v1/config/check', read(file))
     print(f"good; policies: {', '.join(got['policies']) or '-'}; cells: {', '.join(got['cells']) or '-'}")
@@ -98,7 +97,7 @@
 
 
 @policy.command(name='check')
-def policy_check(file: Path, name: str, *, cls: str = 'default', tenant: str = '', cores: float = 1.0, gpus: int = 0,
+def policy_check(file: File, name: str, *, cls: str = 'default', tenant: str = '', cores: float = 1.0, gpus: int = 0,
                  mem: int = 0, victim: str = '', at: At = None):
     """Judges a policy of the configuration in FILE against every known minion, without putting it in force.
 
--- a/asterwharf/sickle/main.py
+++ b/asterwharf/sickle/main.py
@@ -4,13 +4,12 @@
 import sys
 import time
 from collections import Counter
-from pathlib import Path
 
 from cyclopts import App
 
 from asterwharf.base.codes import TABLE
 from asterwharf.sickle.ask import Refused, call, nodes
-from asterwharf.sickle.common import At, Js, doors, read, show
+from asterwharf.sickle.common import At, File, Js, doors, read, show
 from asterwharf.sickle.config import config, edit, policy
 
 app = App(name='sickle', help="The operators' command line of asterwharf.", help_format='plaintext')
@@ -144,7 +143,7 @@
 
 
 @job.command(name='put')
-def job_put(tenant: str, id: str, file: Path, *, at: At = None):
+def job_put(tenant: str, id: str, file: File, *, at: At = None):
     """Hands a job in; the same body again is the same job."""
     doc = read(file)
     sts, got = call(doors(at), 'PUT', _job(tenant, id), doc)
--- a/asterwharf/wire/daemon.py
+++ b/asterwharf/wire/daemon.py
@@ -3,6 +3,7 @@
 It carries out the effects of the node object; the simulator does the same in virtual time.
 """
 
+import hmac
 import os
 import random
 import signal as sigs
@@ -131,6 +132,11 @@
         if nam == self.b.me or nam in self.cut[1]:
             self.drop(c, 'ourselves' if nam == self.b.me else 'cut')
             return False
+        tok = self.b.set.token
+        if tok and not c.out and doc['role'] != 'tend' and not hmac.compare_digest(doc['token'].encode(), tok.encode()):
+            logs.say('warning', 'bad token', code=211, peer=nam)
+            self.drop(c, 'bad token')
+            return False
         c.peer = nam
         old = self.peers.get(nam)
         if old is not None and old is not c:
--- a/asterwharf/wire/links.py
+++ b/asterwharf/wire/links.py
@@ -22,7 +22,9 @@
         self.buf, self.cut_at, self.held, self.born = [], 0, [], boot_ms()
 
     def hello(self):
-        self.add('hello', self.dmn.b.hello())
+        # who dials shows the token, an agent in its own `auth`; who is dialled shows it to nobody
+        b = self.dmn.b
+        self.add('hello', dict(b.hello(), token=b.set.token if self.out and b.role != 'tend' else ''))
         self.push()
 
     def add(self, knd, doc):
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -136,6 +136,14 @@
     assert live.status('t0')['counts']['frames.alien'] >= 2 and live.ask('e0', 'GET', '/v1/config')[0] == 200
 
 
+def test_an_address_in_use_is_said_with_its_number(live):
+    p = live.settings('e1', bind=live.bind['t0'])
+    got = subprocess.run([sys.executable, '-c', 'from asterwharf.furrow.main import main; main()', 'serve', p],
+                         capture_output=True, text=True, timeout=60)
+    live.settings('e1')
+    assert got.returncode == 5 and '"code": 504' in got.stderr and 'Traceback' not in got.stderr
+
+
 def test_a_corrupt_data_folder_is_refused_with_its_number(live, tmp_path):
     (tmp_path / 'data.mdb').write_bytes(os.urandom(8192))
     p = live.settings('t2', data=str(tmp_path), bind='127.0.0.1:1', http='')
--- /dev/null
+++ b/tests/test_sickle.py
@@ -0,0 +1,127 @@
+"""The operators' command line and the runbooks, against real processes with a token set."""
+
+import json
+import os
+import subprocess
+import sys
+
+import pytest
+
+from asterwharf.fleet.live import Live
+from asterwharf.sim.actors import DOC
+
+LONG = {'class': 'surge', 'tasks': [{'name': 'a', 'cores': 1, 'run': {'ms': 60000}}]}
+
+
+@pytest.fixture(scope='module')
+def live(tmp_path_factory):
+    f = Live(tmp_path_factory.mktemp('sickle'), 'small', token='s3cret').up()
+    try:
+        assert f.until(lambda: f.status('e0')['fit'] and f.status('e1')['fit'])
+        yield f
+    finally:
+        f.down()
+
+
+@pytest.fixture
+def sickle(live):
+    env = dict(os.environ, ASTERWHARF_AT=f"{live.http['e0']},{live.http['e1']}", ASTERWHARF_TOKEN='s3cret', USER='op')
+
+    def run(*args, doc=None, rc=0, **over):
+        got = subprocess.run([sys.executable, '-m', 'asterwharf.sickle.main', *args], env=dict(env, **over),
+                             input=None if doc is None else json.dumps(doc), capture_output=True, text=True, timeout=60)
+        assert got.returncode == rc, (got.returncode, got.stdout, got.stderr)
+        assert 'Traceback' not in got.stderr
+        return got.stdout + got.stderr
+    return run
+
+
+def test_configurations_are_put_listed_compared_and_restored(live, sickle):
+    assert 'sequence 1 is in force' in sickle('config', 'put', '-', doc=DOC)
+    assert 'sequence 2' in sickle('config', 'put', '-', '--base', '1', doc=dict(DOC, note='second'))
+    assert '303 stale' in sickle('config', 'put', '-', '--base', '1', doc=DOC, rc=3)
+    assert '201 bad_field' in sickle('config', 'check', '-', doc=dict(DOC, colour=1), rc=2)
+    assert 'policies: near' in sickle('config', 'check', '-', doc=DOC)
+    assert json.JSONDecoder().raw_decode(sickle('config', 'get', '--json'))[0]['sequence'] == 2
+    assert [r.split()[0] for r in sickle('config', 'log').splitlines()[1:]] == ['2', '1']
+    assert '+ "note": "second"' in sickle('config', 'diff', '1', '2')
+    assert '310 no_history' in sickle('config', 'show', '77', rc=3)
+    assert 'sequence 3 is in force, as 1 was' in sickle('config', 'restore', '1')
+    assert live.until(lambda: all(live.status(n)['sequence'] == 3 for n in live.core + live.edges))
+
+
+def test_a_wrong_token_and_no_door_have_their_numbers(sickle):
+    assert '211 bad_token' in sickle('minions', ASTERWHARF_TOKEN='no', rc=2)
+    assert '503 no_reach' in sickle('minions', '--at', '127.0.0.1:1', rc=5)
+    assert '201 bad_field' in sickle('minion', 'gone', 'm00', rc=2)
+    assert '305 unknown_minion' in sickle('minion', 'drain', 'nobody', rc=3)
+
+
+def test_jobs_claims_why_and_a_drained_minion(live, sickle):
+    assert live.until(lambda: live.minions_up() == 3)
+    assert 'taken: basin/long' in sickle('job', 'put', 'basin', 'long', '-', doc=LONG)
+    assert live.until(lambda: 'basin/long/a' in sickle('claims'))
+    assert 'running' in sickle('why', 'basin', 'long') and 'long' in sickle('jobs', '--tenant', 'basin')
+    for m in live.tends:
+        sickle('minion', 'drain', m)
+    sickle('job', 'put', 'basin', 'waits', '-', doc=LONG)
+    assert '3 minions: draining' in sickle('why', 'basin', 'waits')
+    for m in live.tends:
+        sickle('minion', 'undrain', m)
+    assert live.until(lambda: sickle('claims').count('basin/') == 2)
+    for j in ('long', 'waits'):
+        assert live.until(lambda: 'cancelled' in sickle('job', 'cancel', 'basin', j))
+    assert 'e0' in sickle('nodes') and 'minions 3/3' in sickle('watch', '--rounds', '1')
+    tri = sickle('policy', 'check', '-', 'near', '--cls', 'surge', '--victim', 'sweep', doc=DOC)
+    assert 'm02' in tri and 'may_evict' in tri
+
+
+def test_runbook_zone_emptied(live, sickle):
+    assert 'zone z2 emptied' in sickle('zone', 'empty', 'z2')
+    assert '306 unknown_zone' in sickle('zone', 'empty', 'z9', rc=3)
+    sickle('zone', 'empty', 'z1')
+    assert '307 last_zone' in sickle('zone', 'empty', 'z3', rc=3)
+    sickle('zone', 'restore', 'z1')
+    sickle('zone', 'restore', 'z2')
+
+
+def test_runbook_disk_wiped_and_core_replaced(live, sickle):
+    n = json.loads(sickle('seats'))['groups']['core']['holder']
+    old = live.bind[n]
+    live.kill(n)
+    live.wipe(n)
+    # the same machine's name, an empty disk, and another address
+    from asterwharf.fleet.live import ports
+    live.bind[n] = f'127.0.0.1:{ports(1)[0]}'
+    live.start(n)
+
+    def whole():
+        g = json.loads(sickle('seats'))['groups'].get('core', {})
+        return not g['changing'] and set(g['seats']) == set(live.core) and len(g['siblings']) == 2 \
+            and all(s['acked'] == g['last'] for s in g['siblings'].values())
+    assert live.until(whole)
+    assert old != live.bind[n] and live.until(lambda: live.status(n)['sequence'] >= 3)
+    # and the fleet stands the next loss
+    m = next(c for c in live.core if c != n)
+    live.kill(m)
+    assert live.until(lambda: live.ask('e0', 'PUT', '/v1/tenants/basin/jobs/after', LONG)[0] in (200, 201))
+    live.start(m)
+
+
+def test_a_cell_is_made_and_dissolved(live, sickle):
+    doc = dict(DOC, cells={'north': {'tenants': ['basin'], 'zones': ['z1'], 'seats': ['t0', 'e0', 't1']}})
+    sickle('config', 'put', '-', doc=doc)
+
+    def owns():
+        rows = json.loads(sickle('cells', '--json'))['cells']
+        return rows and 'tenant:basin' in rows[0]['owns'] and 'minion:m00' in rows[0]['owns']
+    # what runs in the old cell ends there first
+    assert live.until(lambda: 'cancelled' in sickle('job', 'cancel', 'basin', 'after'))
+    assert live.until(owns)
+    quick = {'class': 'surge', 'tasks': [{'name': 'a', 'run': {'ms': 100}}]}
+    assert live.until(lambda: live.ask('e1', 'PUT', '/v1/tenants/basin/jobs/north1', quick)[0] in (200, 201))
+    assert live.until(lambda: live.ask('e1', 'GET', '/v1/tenants/basin/jobs/north1')[1]['state'] == 'done')
+    sickle('config', 'put', '-', doc=DOC)
+    assert live.until(lambda: not json.loads(sickle('cells', '--json'))['cells'])
+    # its jobs came back with its tenant
+    assert live.until(lambda: live.ask('e1', 'GET', '/v1/tenants/basin/jobs/north1')[1]['state'] == 'done')
