--- a/asterwharf/scheduler/clerk.py
+++ b/asterwharf/scheduler/clerk.py
@@ -163,12 +163,11 @@
 
     def do_submit(self, a, give, cell):
         """A yes needs no confirming: it is a delivery, or follows from one. A no does."""
-        mac, cfg = cell.mac, self.b.config or config.bare()
-        dig = jobs.digest(a['spec'])
-        bad = self._refusal(a, dig, cell, cfg)
+        mac, dig = cell.mac, jobs.digest(a['spec'])
+        bad = self._refusal(a, dig, cell)
         if bad is not None:
             # a holder that was deposed may know less than its successor: it must not refuse
-            return self._sure(cell, give, lambda: give(*(self._refusal(a, dig, cell, cfg) or ('unsure', NOBODY))))
+            return self._sure(cell, give, lambda: give(*(self._refusal(a, dig, cell) or ('unsure', NOBODY))))
         old = mac.jobs.get(self._key(a))
         if old is not None:
             return give('same', show.job(old))
@@ -181,13 +180,14 @@
             give(r)
         self._order(cell, 't_submit', doc, give, then)
 
-    def _refusal(self, a, dig, cell, cfg):
+    def _refusal(self, a, dig, cell):
         """(code, body) or None. The identifier goes first: an earlier sending may have been taken."""
         mac = cell.mac
         if not mac.ours(a['tenant'], cell.grp):
             return 'moving', NOBODY
         # after a restart this node may not have the configuration yet that the cell has seen
-        if self.b.config is None or self.b.config.sequence < mac.sequence:
+        cfg = self.b.config
+        if cfg is None or cfg.sequence < mac.sequence:
             return 'no_holder', NOBODY
         old = mac.jobs.get(self._key(a))
         if old is not None:
