--- a/asterwharf/base/board.py
+++ b/asterwharf/base/board.py
@@ -11,14 +11,14 @@
     """What the controllers of one process share."""
 
     __slots__ = ('adopt', 'atlas', 'cells', 'config', 'count', 'load', 'node', 'proto', 'emptied', 'history', 'holders', 'inc', 'leaving', 'links', 'me', 'nodes', 'now', 'out',
-                 'rng', 'role', 'said', 'set', 'stale', 'wall', 'zone')
+                 'rng', 'role', 'said', 'set', 'wall', 'zone')
 
     def __init__(self, st, role, inc, rng, now=0, wall=0):
         self.set, self.me, self.role, self.zone, self.inc, self.rng = st, st.name, role, st.zone, inc, rng
         self.now, self.wall, self.out, self.said = now, wall, [], []
         # nodes: name -> row of the roll; links: peers connected now -> their hello
         self.nodes, self.links, self.holders = {}, {}, {}
-        self.config, self.emptied, self.leaving, self.stale = None, frozenset(), False, False
+        self.config, self.emptied, self.leaving = None, frozenset(), False
         self.count = Counter()
         # the cell directory's copy, the cells that have a seat here, how to load what a group had synced
         self.atlas, self.cells, self.load, self.node, self.proto, self.adopt, self.history = None, {}, None, None, 2, None, None
@@ -60,6 +60,10 @@
     def __init__(self, b):
         self.b = b
 
+    def heeds(self, src):
+        """Whether messages of this peer are for this controller."""
+        return True
+
     def tick(self):
         """Time has passed: `b.now`, `b.wall`."""
 
@@ -103,7 +107,8 @@
     def hear(self, src, knd, doc, now, wall):
         self._at(now, wall)
         for c in self.by.get(knd, ()):
-            getattr(c, 'on_' + knd)(src, doc)
+            if c.heeds(src):
+                getattr(c, 'on_' + knd)(src, doc)
 
     def tick(self, now, wall):
         b = self.b
--- a/asterwharf/disk/store.py
+++ b/asterwharf/disk/store.py
@@ -6,7 +6,7 @@
 
 import lmdb
 
-META, LOG, ROWS = b'meta', b'log', b'rows'
+META = b'meta'
 
 
 class Corrupt(Exception):
--- a/asterwharf/door/app.py
+++ b/asterwharf/door/app.py
@@ -6,7 +6,7 @@
 from asterwharf.base import logs
 from asterwharf.base.codes import TABLE, trouble
 from asterwharf.clock.boot import boot_ms
-from asterwharf.door.routes import ROUTES, match
+from asterwharf.door.routes import match
 from asterwharf.scheduler.ferry import Ferry
 
 LINGER, QUIET = 1500, 300
@@ -197,6 +197,3 @@
 def _trace(x):
     import traceback
     return ''.join(traceback.format_exception(x))[-2000:]
-
-
-__all__ = ['App', 'ROUTES']
--- a/asterwharf/door/http.py
+++ b/asterwharf/door/http.py
@@ -194,6 +194,9 @@
     def idle(self):
         return self.app.idle()
 
+    def sweep(self):
+        self.http.sweep()
+
     def deafen(self):
         """Takes the connections that wait, then no more."""
         s = self.server
--- a/asterwharf/fleet/minion.py
+++ b/asterwharf/fleet/minion.py
@@ -8,11 +8,10 @@
 import secrets
 import sys
 from collections import Counter
-from typing import Annotated
 
 from circuits import BaseComponent, handler
 from circuits.core.pollers import EPoll
-from cyclopts import App as Cmd, Parameter
+from cyclopts import App as Cmd
 
 from asterwharf.base.settings import address
 from asterwharf.clock.boot import boot_ms, wall_ms
@@ -147,8 +146,7 @@
 
 
 @cmd.default
-def main(*, bind: str, journal: str, cores: float = 16, gpus: int = 0, mem: int = 1 << 34,
-         parent: Annotated[int, Parameter(help='leave when this process is gone')] = 0):
+def main(*, bind: str, journal: str, cores: float = 16, gpus: int = 0, mem: int = 1 << 34):
     if os.path.dirname(journal):
         os.makedirs(os.path.dirname(journal), exist_ok=True)
     Minion(bind, journal, (cores, gpus, mem)).run()
--- a/asterwharf/furrow/dialect.py
+++ b/asterwharf/furrow/dialect.py
@@ -1,7 +1,7 @@
 """The one seam to the minion: our HTTP/JSON dialect of start, stop, endings and draining.
 
 Another minion's dialect is another file with a class like this one: `takes`, `carry`,
-`idle`, and words told to the keeper. docs/minion.md lists the requests.
+`idle`, `sweep`, and words told to the keeper. docs/minion.md lists the requests.
 """
 
 from circuits import BaseComponent, handler
@@ -27,6 +27,9 @@
     def idle(self):
         return True
 
+    def sweep(self):
+        """Nothing here outlives its time: each request has its own."""
+
     def tell(self, what, *args, **kws):
         b = self.dmn.b
         b.now, b.wall = boot_ms(), wall_ms()
--- a/asterwharf/link/keeper.py
+++ b/asterwharf/link/keeper.py
@@ -4,7 +4,7 @@
 """
 
 from asterwharf.base.board import Controller
-from asterwharf.link.agent import DISCONNECTED, REGISTERED
+from asterwharf.link.agent import REGISTERED
 
 STARTING, RUNNING, STOPPING = 'starting', 'running', 'stopping'
 STEPS = {STARTING: {RUNNING, STOPPING}, RUNNING: {STOPPING}, STOPPING: set()}
@@ -264,6 +264,3 @@
 
     def _m_ended(self, h, kws):
         self.end(h, 'done' if kws['ok'] else 'failed', kws.get('why', ''))
-
-
-__all__ = ['DISCONNECTED', 'Keeper']
--- a/asterwharf/scheduler/cell.py
+++ b/asterwharf/scheduler/cell.py
@@ -308,6 +308,3 @@
         for t in j.tasks.values():
             del self.tasks[t.key]
             self.by[t.state].pop(t.key, None)
-
-
-__all__ = ['Cell', 'RUNNING']
--- a/asterwharf/scheduler/claims.py
+++ b/asterwharf/scheduler/claims.py
@@ -154,6 +154,3 @@
             self.seen.append((m.name, t.key, False))
             t.avoid = (t.avoid + [m.name])[-3:]
         self.lost(t, f"{wht}: {i['why']}" if i['why'] else wht, at)
-
-
-__all__ = ['Claims', 'ENDS']
--- a/asterwharf/scheduler/config.py
+++ b/asterwharf/scheduler/config.py
@@ -9,7 +9,7 @@
 from asterwharf.base.checks import read
 from asterwharf.base.codes import trouble
 from asterwharf.scheduler.jobs import NAME
-from asterwharf.scheduler.policy import Policy, compile_policy
+from asterwharf.scheduler.policy import compile_policy
 
 
 MOST = 20000
@@ -176,11 +176,3 @@
 
 def swell(byt):
     return json.loads(zlib.decompress(byt))
-
-
-def bare():
-    """What holds before any operator has spoken: no tenants, so nothing is taken."""
-    return Config(Doc(zones={}, tenants={}), {}, {}, 0)
-
-
-__all__ = ['Class', 'Config', 'Doc', 'Policy', 'bare', 'check', 'squeeze', 'swell']
--- a/asterwharf/scheduler/policy.py
+++ b/asterwharf/scheduler/policy.py
@@ -5,7 +5,6 @@
 from expression import Error, Ok
 
 SIZE = 2000
-NAMES = ('task', 'tenant', 'minion', 'zone', 'victim')
 _ENV = []
 
 
--- a/asterwharf/scheduler/steward.py
+++ b/asterwharf/scheduler/steward.py
@@ -2,7 +2,7 @@
 
 from asterwharf.base.board import Controller
 from asterwharf.scheduler.ferry import Ferry
-from asterwharf.scheduler.model import PLACED, RECOVERING, RUNNING, STOPPING
+from asterwharf.scheduler.model import PLACED, RECOVERING, STOPPING
 
 
 class Tie:
@@ -29,6 +29,10 @@
     def _fresh(self):
         self.ties, self.timers, self.sent, self.downs, self.asked = {}, {}, {}, set(), {}
 
+    def heeds(self, src):
+        # where an edge holds a cell, an agent's words come here twice: its own are the hub's to pass on
+        return src == self.b.me or self.b.links[src]['role'] != 'tend'
+
     @property
     def mac(self):
         return self.cell.mac
@@ -283,6 +287,3 @@
         b.send(tie.edge, 'order', minion=nam, link=m.link, what=what, task=key, round=rnd, stamp=tie.stamp,
                need=self._need(t) if t else None, run=t.run if t and what == 'start' else None,
                sequence=b.sequence)
-
-
-__all__ = ['RUNNING', 'Steward']
--- a/asterwharf/sim/actors.py
+++ b/asterwharf/sim/actors.py
@@ -13,7 +13,7 @@
 
     def __init__(self, w, edges, obs, name='caller'):
         self.w, self.edges, self.obs, self.name, self.n = w, edges, obs, name, 0
-        self.silence, self.took, self.given_up = 6000, [], []
+        self.silence, self.took = 6000, []
 
     def _edge(self):
         up = [e for e in self.edges if self.w.hosts[e].alive and not self.w.hosts[e].frozen]
--- a/asterwharf/sim/observer.py
+++ b/asterwharf/sim/observer.py
@@ -3,7 +3,7 @@
 Each rule is a line of the brief's "What must never happen"; `broken` lists what it saw broken.
 """
 
-CANCEL_START, CANCEL_RUN, DRAIN, ZONE, UNKNOWN, CONFIG = 3000, 1000, 2000, 5000, 3000, 2000
+CANCEL_START, CANCEL_RUN, DRAIN, ZONE, UNKNOWN = 3000, 1000, 2000, 5000, 3000
 
 
 class Observer:
--- a/asterwharf/sim/scenarios.py
+++ b/asterwharf/sim/scenarios.py
@@ -3,7 +3,7 @@
 `python -m asterwharf.sim run NAME --seed N` replays one; `sweep` runs many.
 """
 
-from asterwharf.sim.actors import DOC, job
+from asterwharf.sim.actors import job
 from asterwharf.sim.fleet import Fleet
 from asterwharf.view.chair import leave
 
@@ -365,6 +365,3 @@
            drains, clock_jump, zone_emptied, minion_crashed]
     for fn in r.sample(one, 3):
         fn(f)
-
-
-__all__ = ['ALL', 'DOC', 'run']
--- a/asterwharf/sim/world.py
+++ b/asterwharf/sim/world.py
@@ -45,13 +45,13 @@
 class Host:
     """One simulated process: its node object, its clocks, its disk, its fate."""
 
-    __slots__ = ('addr', 'alive', 'bare', 'born', 'build', 'disk', 'free', 'frozen', 'life', 'minion', 'name', 'node', 'pend', 'role',
+    __slots__ = ('addr', 'alive', 'bare', 'build', 'disk', 'free', 'frozen', 'life', 'minion', 'name', 'node', 'pend', 'role',
                  'skew', 'slow', 'wall')
 
     def __init__(self, name, role, addr, build):
         self.name, self.role, self.addr, self.build = name, role, addr, build
         self.node, self.alive, self.frozen, self.pend = None, False, False, []
-        self.skew, self.wall, self.slow, self.life, self.minion, self.disk, self.born = 0, 0, 0, 0, None, None, 0
+        self.skew, self.wall, self.slow, self.life, self.minion, self.disk = 0, 0, 0, 0, None, None
         self.bare, self.free = False, 0
 
 
@@ -134,7 +134,7 @@
 
     def start(self, name):
         h = self.hosts[name]
-        h.alive, h.frozen, h.pend, h.born, h.free = True, False, [], self.t, self.t
+        h.alive, h.frozen, h.pend, h.free = True, False, [], self.t
         h.life += 1
         # only a disk remembers who it was; a process without one is a new incarnation each time
         if h.role == 'tend' or h.bare:
--- a/asterwharf/view/seat.py
+++ b/asterwharf/view/seat.py
@@ -179,11 +179,7 @@
             return
         self.asked = self.now
         for p in sorted(self.peers):
-            self.desk.say(p, 'learn', {'grp': self.grp, 'inc': self.inc, 'op': self.log.last if self.rows_known else -1})
-
-    @property
-    def rows_known(self):
-        return not self.empty
+            self.desk.say(p, 'learn', {'grp': self.grp, 'inc': self.inc, 'op': -1 if self.empty else self.log.last})
 
     # --- a change of view
     def _newer(self, m):
--- a/asterwharf/wire/daemon.py
+++ b/asterwharf/wire/daemon.py
@@ -57,6 +57,8 @@
         # a connection that never greets is not one of ours
         for c in [c for c in self.conns.values() if c.peer is None and now - c.born > self.b.set.link.auth_ms]:
             self.drop(c, 'no hello in time')
+        for p in self.parts:
+            p.sweep()
 
     def _settle(self):
         self.again = False
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -128,3 +128,18 @@
     for i in range(40):
         fer.start('submit', 'cell', {'tenant': 'basin', 'id': f'b{i}', 'spec': SMALL}, lambda c, b: got.append((c, b, f.w.t)))
     assert [c for c, _, _ in got] == ['overload'] * 35 and all(b['retry_ms'] > 0 and t == beg for _, b, t in got)
+
+
+def test_an_agent_whose_edge_holds_its_cell_registers_once():
+    f = Fleet(36, edges=1, minions=2).start()
+    assert f.ready()
+    # every link is at the one edge, which also holds the cell
+    f.call.configure(lambda d: dict(d, cells={'own': {'tenants': ['basin'], 'zones': ['z1', 'z2', 'z3'], 'seats': ['e0']}}))
+    assert f.w.until(lambda: f.gid('own') and f.holder(f.gid('own')) == 'e0', 20000)
+    mac = f.chair('e0', f.gid('own')).mac
+    assert f.w.until(lambda: len(mac.minions) == 2 and all(m.up for m in mac.minions.values()), 20000)
+    f.w.run(f.w.t + 10000)
+    assert [(m.link, m.edge, m.up) for m in mac.minions.values()] == [(1, 'e0', True)] * 2
+    f.call.submit('basin', 'j', SMALL)
+    f.w.run(f.w.t + 2000)
+    assert f.settle() and f.obs.final == {'basin/j': 'done'}
