Leave when a sync fails; give stalled requests their end by the settings' bound

Cause: a failed lmdb write was logged and the process went on, holding a view whose changes it could no longer sync; and the door's time for a stalled request counted from when its connection was last used, so a request on a connection idle for long could be cut short. Both with a test.

--- a/asterwharf/disk/store.py
+++ b/asterwharf/disk/store.py
@@ -70,6 +70,12 @@
         """One transaction, one sync, for the batches of all groups: [(grp, batch)]."""
         if self.env is None:
             return
+        try:
+            self._write(bts)
+        except (lmdb.Error, OSError) as e:
+            raise Corrupt(f'{self.path}: {e}') from None
+
+    def _write(self, bts):
         dbs = {(g, k): self._db(f'{g}/{k}') for g, _ in bts for k in ('meta', 'log', 'rows')}
         with self.env.begin(write=True) as t:
             for g, b in bts:
--- a/asterwharf/door/app.py
+++ b/asterwharf/door/app.py
@@ -9,7 +9,7 @@
 from asterwharf.door.routes import match
 from asterwharf.scheduler.ferry import Ferry
 
-LINGER, QUIET = 1500, 300
+LINGER, QUIET, STALL = 1500, 300, 6
 
 
 class Errand:
@@ -106,6 +106,11 @@
     def max_body(self):
         return self.b.set.max_body
 
+    @property
+    def stall_ms(self):
+        # a request that takes so long to arrive will not arrive
+        return self.b.set.errand_ms * STALL
+
     @property
     def count(self):
         return self.b.count
--- a/asterwharf/door/http.py
+++ b/asterwharf/door/http.py
@@ -19,7 +19,6 @@
 from asterwharf.clock.boot import boot_ms
 
 HEADS = 65536
-STALL = 30000
 
 
 class Line:
@@ -47,6 +46,9 @@
         ln = self.lines.get(sock)
         if ln is None:
             ln = self.lines[sock] = Line(sock)
+        if not ln.rest and ln.parser is None:
+            # a request begins now, however long the connection was idle before
+            ln.at = boot_ms()
         ln.rest += data
         # a caller that sends on and on while one request is answered is held to what one body may be
         if ln.busy and len(ln.rest) > self.app.max_body + HEADS:
@@ -153,7 +155,7 @@
         """Requests that were begun and never finished give their connection back."""
         now = boot_ms()
         for ln in list(self.lines.values()):
-            if not ln.busy and (ln.parser is not None or ln.rest) and now - ln.at > STALL:
+            if not ln.busy and (ln.parser is not None or ln.rest) and now - ln.at > self.app.stall_ms:
                 self._bad(ln, 'bad_http', 'the request did not come to its end')
 
     @property
--- a/asterwharf/fleet/minion.py
+++ b/asterwharf/fleet/minion.py
@@ -24,7 +24,7 @@
     """Answers the dialect of docs/minion.md."""
 
     channel = 'minion'
-    max_body = 1 << 20
+    max_body, stall_ms = 1 << 20, 30000
     leaving = False
 
     def init(self, bind, journal, size):
--- a/asterwharf/wire/daemon.py
+++ b/asterwharf/wire/daemon.py
@@ -15,6 +15,7 @@
 
 from asterwharf.base import logs, settings
 from asterwharf.clock.boot import boot_ms, wall_ms
+from asterwharf.disk.store import Corrupt
 from asterwharf.wire.links import Leg, Side
 
 TICK = 0.02
@@ -84,7 +85,12 @@
 
     def _sync(self, bats):
         beg = boot_ms()
-        self.store.write(bats)
+        try:
+            self.store.write(bats)
+        except Corrupt as e:
+            # what can't be synced must not be acknowledged; siblings take over what was held here
+            logs.say('error', 'alarm', alarm='disk_trouble', code=501, why=str(e))
+            os._exit(5)
         took = boot_ms() - beg
         self.b.count['syncs'] += 1
         self.b.count['sync_ms'] += took
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -1,6 +1,7 @@
 """Bad input: each a numbered code that names the field, and nothing changed."""
 
 import copy
+from pathlib import Path
 
 import pytest
 
@@ -24,6 +25,11 @@
     assert res.is_error() and any(m.startswith(path) or path in m for m in res.error), res
 
 
+def test_the_settings_files_of_deploy_are_good():
+    files = sorted((Path(__file__).parent.parent / 'deploy').glob('*.toml'))
+    assert len(files) == 3 and all(settings.load(str(p), {}).is_ok() for p in files)
+
+
 def test_settings_list_every_mistake_at_once():
     res = settings.check({'bind': 5, 'colour': 1, 'link': {'x': 1, 'beat_ms': 'q'}})
     assert {m.split(':')[0] for m in res.error} == {'name', 'bind', 'seeds', 'colour', 'link.x', 'link.beat_ms'}
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -67,3 +67,12 @@
 
 def test_without_a_folder_each_start_is_another_incarnation():
     assert Store('').inc != Store('').inc
+
+
+def test_a_sync_that_fails_is_told_and_nothing_counts_as_synced(tmp_path):
+    sto = Store(str(tmp_path / 'd'))
+    s = alone(sto)
+    sto.env.close()
+    with pytest.raises(Corrupt):
+        turn(s, sto, 5000)
+    assert s.desk.safe == 0 and s.desk.done == 0
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -170,6 +170,22 @@
     assert live.status('e0')['fit']
 
 
+def test_a_request_that_never_comes_to_its_end_gives_its_connection_back(live):
+    live.settings('e1', errand_ms=300)
+    live.signal('e1', signal.SIGHUP)
+    assert live.until(lambda: 'settings reread' in open(live.path('e1.log')).read())
+    ws = [Wire(live.http['e1']) for _ in range(3)]
+    ws[0].send(b'GET /fit')
+    ws[1].send(b'PUT /v1/config HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nabc')
+    # an idle connection is no stalled request
+    assert all(w.answer()[1]['code'] == 210 and w.f.readline() == b'' for w in ws[:2])
+    ws[2].send(req('GET', '/fitness'))
+    assert ws[2].answer()[0] == 200
+    live.settings('e1')
+    live.signal('e1', signal.SIGHUP)
+    assert live.until(lambda: open(live.path('e1.log')).read().count('settings reread') == 2)
+
+
 def test_planned_restarts_of_every_process_cut_no_caller_off(live):
     calls = Callers([live.http[e] for e in live.edges], {'surge': (6.0, 'basin')}, 25, seed=3)
     todo = ['e0', 't0', 'm00', 'e1', 't1', 't2']
