--- a/asterwharf/fleet/__main__.py
+++ b/asterwharf/fleet/__main__.py
@@ -3,6 +3,7 @@
 import json
 import os
 import shutil
+import signal
 import statistics
 import sys
 import tempfile
@@ -107,6 +108,9 @@
         for k, f in faults.ALL.items():
             print(f'{k:16} {f.__doc__}')
         return
+    # the fleet goes with this process, however that is asked to go
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     own = folder is None
     folder = Path(folder or tempfile.mkdtemp(prefix='asterwharf-'))
     live = Live(folder, size)
