--- a/asterwharf/scheduler/policy.py
+++ b/asterwharf/scheduler/policy.py
@@ -5,6 +5,7 @@
 from expression import Error, Ok
 
 SIZE = 2000
+MACROS = frozenset(('all', 'exists', 'exists_one', 'map', 'filter', 'reduce', 'min'))
 _ENV = []
 
 
@@ -70,6 +71,12 @@
         return False
 
 
+def _loops(tree):
+    """How deep macros that walk a list stand within each other."""
+    own = tree.data == 'member_dot_arg' and any(str(c) in MACROS for c in tree.children if not hasattr(c, 'children'))
+    return own + max((_loops(c) for c in tree.children if hasattr(c, 'children')), default=0)
+
+
 def _one(nam, src, bad):
     if not src:
         return None
@@ -78,7 +85,12 @@
         return None
     try:
         env = _env()
-        return env.program(env.compile(src))
+        ast = env.compile(src)
+        # one walk over a list is bounded by the program's size; one within another is not by much
+        if _loops(ast) > 1:
+            bad.append(f'{nam}: macros over lists may not stand within each other')
+            return None
+        return env.program(ast)
     except Exception as e:
         bad.append(f'{nam}: {str(e).strip().splitlines()[0] if str(e).strip() else type(e).__name__}')
         return None
--- a/asterwharf/sim/world.py
+++ b/asterwharf/sim/world.py
@@ -81,7 +81,7 @@
         self.t, self.base, self.tickms, self.q, self.n = 0, base, tick, [], 0
         self.hosts, self.addrs, self.conns, self.cuts = {}, {}, {}, set()
         self.log, self.count, self.loss, self.dup, self.lag = [], {}, 0.0, 0.0, (1, 4)
-        self.broke = 3000
+        self.broke, self.sight = 3000, {'true': 0, 'false': 0}
 
     # --- time
     def at(self, t, fn, *args):
@@ -198,6 +198,11 @@
         out, said = h.node.flush()
         for lvl, evt, kws in said:
             self.say(h.name, evt, **kws)
+            if kws.get('alarm') == 'node_out_of_sight':
+                o = self.hosts[kws['about']]
+                # a suspicion is false where the node was there to be heard
+                real = not o.alive or o.frozen or self.cuts
+                self.sight['true' if real else 'false'] += 1
         for e in out:
             getattr(self, '_e_' + e[0])(h, *e[1:])
 
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -56,6 +56,7 @@
     (broken(tenants={'t': {'weight': '1'}}), 'bad_field', 'tenants.t.weight: wanted float'),
     (broken(classes={'c': {'unattended': 'maybe'}}), 'bad_config', 'classes.c.unattended'),
     (broken(policies={'near': {'may_land': 'a +'}}), 'bad_policy', 'policies.near.may_land'),
+    (broken(policies={'near': {'may_land': '[1].all(x, [2].exists(y, x == y))'}}), 'bad_policy', 'may not stand within'),
     (broken(policies={'near': {'score': '1' * 3000}}), 'bad_policy', 'more than 2000'),
     (broken(limits={'cores': -1.0}), 'bad_config', 'limits.cores'),
     (broken(tenants={f't{i}': {} for i in range(20001)}), 'bad_config', 'are more than 20000'),
