--- a/asterwharf/scheduler/ferry.py
+++ b/asterwharf/scheduler/ferry.py
@@ -147,7 +147,8 @@
                     self.known[g] = hld
                     # a new holder: what waited goes to it, not all in one moment
                     for t in self.trips.values():
-                        if t.grp == g and not t.to:
+                        # and what lies with the old one: it may never return
+                        if t.grp == g and t.to != hld[0]:
                             t.next = min(t.next, now + int(self.b.rng.random() * self.b.set.view.silence_ms / 4))
             else:
                 self.dark.setdefault(g, now)
