--- a/asterwharf/base/board.py
+++ b/asterwharf/base/board.py
@@ -8,6 +8,9 @@
 
 from asterwharf.base.alarms import Alarms
 
+# what is told of a node from one to another
+ROW = ('name', 'role', 'addr', 'zone', 'http', 'calls', 'inc')
+
 
 class Board:
     """What the controllers of one process share."""
@@ -73,12 +76,12 @@
 
     def hello(self):
         s = self.set
-        return {'name': self.me, 'role': self.role, 'addr': s.bind, 'zone': self.zone, 'http': s.http,
+        return {'name': self.me, 'role': self.role, 'addr': s.bind, 'zone': self.zone, 'http': s.http, 'calls': s.calls,
                 'inc': self.inc, 'proto': self.proto, 'token': s.token}
 
     def row(self):
         h = self.hello()
-        return {k: h[k] for k in ('name', 'role', 'addr', 'zone', 'http', 'inc')}
+        return {k: h[k] for k in ROW}
 
     def of(self, role):
         return [n for n, r in self.nodes.items() if r['role'] == role]
@@ -130,7 +133,8 @@
         for k in c.hears:
             self.by[k] = tuple(x for x in self.by[k] if x is not c)
 
-    def _at(self, now, wall):
+    def at(self, now, wall):
+        """The node learns the time, before anything that comes from outside is taken in."""
         b = self.b
         b.now, b.wall = now, wall
         # after a freeze, time is looked at before any message that waited in a buffer
@@ -138,7 +142,7 @@
             self.tick(now, wall)
 
     def hear(self, src, knd, doc, now, wall):
-        self._at(now, wall)
+        self.at(now, wall)
         for c in self.by.get(knd, ()):
             if c.heeds(src):
                 getattr(c, 'on_' + knd)(src, doc)
@@ -151,13 +155,13 @@
         b.work()
 
     def up(self, peer, hello, now, wall):
-        self._at(now, wall)
+        self.at(now, wall)
         self.b.links[peer] = hello
         for c in self.ctl:
             c.up(peer)
 
     def lost(self, peer, now, wall):
-        self._at(now, wall)
+        self.at(now, wall)
         if self.b.links.pop(peer, None) is None:
             return
         for c in self.ctl:
--- a/asterwharf/base/settings.py
+++ b/asterwharf/base/settings.py
@@ -46,6 +46,32 @@
     chunk: int = 262144
 
 
+@dataclass(frozen=True)
+class Calls:
+    """Minions that call in by themselves, and their runs: bounds in milliseconds."""
+
+    # how often an idle minion calls; the longest hold it takes, and the one that it is given
+    beat_ms: int = 1500
+    max_hold_ms: int = 6000
+    hold_ms: int = 4000
+    # a stop's end, a gang's wait for its members, work away from its data or rack (times as long)
+    stop_grace_ms: int = 400
+    gang_wait_ms: int = 3000
+    far_factor: float = 3.0
+    # between two checkpoints of a run; what a start from one costs
+    checkpoint_ms: int = 1000
+    restore_ms: int = 100
+    # how long an ended job is answered for, how early a timed one may start, how soon a cancel must hold
+    status_ms: int = 120000
+    early_ms: int = 250
+    cancel_ms: int = 3000
+    # nothing more is started so long after a minion's word that it drains, or after a zone was emptied;
+    # how much longer than `drain_ms` a minion serves that leaves in order
+    drain_ms: int = 2000
+    evacuate_ms: int = 5000
+    leave_grace_ms: int = 1000
+
+
 @dataclass(frozen=True)
 class Settings:
     name: str
@@ -53,12 +79,16 @@
     seeds: list[str]
     zone: str = 'z1'
     http: str = ''
+    calls: str = ''
     data: str = ''
+    disk_mb: int = 4096
     minion: str = ''
     cores: float = 1.0
     gpus: int = 0
     mem: int = 1073741824
     core_size: int = 3
+    found: bool = True
+    founders: list[str] = field(default_factory=list)
     token: str = ''
     log_level: str = 'info'
     max_body: int = 8388608
@@ -71,6 +101,7 @@
     labels: dict[str, str] = field(default_factory=dict)
     link: Link = field(default_factory=Link)
     view: View = field(default_factory=View)
+    call: Calls = field(default_factory=Calls)
 
 
 def address(txt):
@@ -87,20 +118,23 @@
 
 def _judge(s):
     bad = []
-    for k in ('bind', 'http', 'minion'):
+    for k in ('bind', 'http', 'calls', 'minion'):
         v = getattr(s, k)
-        # agents and core nodes need no HTTP door
+        # agents and core nodes need no HTTP door, edges take no calls of minions
         if (v or k == 'bind') and address(v) is None:
             bad.append(f'{k}: {v!r} is not IP:port')
     if not s.name or not all(c.isalnum() or c in '-_.' for c in s.name):
         bad.append(f'name: {s.name!r} may hold letters, digits, "-", "_" and "." only')
     if not 1 <= len(s.seeds) <= 16:
         bad.append('seeds: between one and sixteen addresses are wanted')
-    bad += [f'seeds[{i}]: {v!r} is not IP:port' for i, v in enumerate(s.seeds) if address(v) is None]
-    for o, p in ((s, ''), (s.link, 'link.'), (s.view, 'view.')):
+    bad += [f'{k}[{i}]: {v!r} is not IP:port' for k in ('seeds', 'founders') for i, v in enumerate(getattr(s, k))
+            if address(v) is None]
+    if s.founders and len(s.founders) != s.core_size:
+        bad.append('founders: as many as core_size are wanted, or none')
+    for o, p in ((s, ''), (s.link, 'link.'), (s.view, 'view.'), (s.call, 'call.')):
         for f in fields(o):
             v = getattr(o, f.name)
-            if isinstance(v, (int, float)) and v <= 0 and f.name != 'gpus':
+            if isinstance(v, (int, float)) and v <= 0 and f.name not in ('gpus', 'found'):
                 bad.append(f'{p}{f.name}: must be above zero')
     l = s.link
     # the fence: an agent must have stopped its work before anyone may start it anew
@@ -112,6 +146,8 @@
         bad.append('link: wanted beat_ms < unhealthy_ms < close_ms')
     if s.view.beat_ratio > 0.34:
         bad.append('view.beat_ratio: at most 0.34, so that two beats may be lost')
+    if s.call.hold_ms > s.call.max_hold_ms:
+        bad.append('call.hold_ms: at most max_hold_ms, or minions cut it short')
     if s.log_level not in ('debug', 'info', 'warning', 'error'):
         bad.append('log_level: one of debug, info, warning, error')
     return bad
@@ -140,7 +176,7 @@
 
 
 # what a running process may take over on SIGHUP; the rest needs a restart
-SAFE = ('log_level', 'max_body', 'errand_ms', 'poll_ms', 'buffer', 'leave_ms', 'labels', 'seeds')
+SAFE = ('log_level', 'max_body', 'errand_ms', 'poll_ms', 'buffer', 'leave_ms', 'labels', 'seeds', 'call')
 
 
 def reread(old, new):
--- a/asterwharf/disk/store.py
+++ b/asterwharf/disk/store.py
@@ -22,7 +22,8 @@
 
     __slots__ = ('dbs', 'env', 'inc', 'path')
 
-    def __init__(self, path):
+    def __init__(self, path, disk_mb=4096):
+        """`disk_mb`: the most that may lie in the folder, in MiB. Raises Corrupt."""
         self.path, self.dbs, self.env = path, {}, None
         # no folder: wiped at each restart, by the same path as a lost disk
         if not path:
@@ -30,7 +31,8 @@
             return
         os.makedirs(path, exist_ok=True)
         try:
-            self.env = lmdb.open(path, max_dbs=512, map_size=1 << 32, metasync=True, sync=True)
+            # one process, one thread: the library's locks would only leave another file to lose
+            self.env = lmdb.open(path, max_dbs=512, map_size=disk_mb << 20, lock=False, metasync=True, sync=True)
             self.inc = self._born()
         except lmdb.Error as e:
             raise Corrupt(f'{path}: {e}') from None
--- a/asterwharf/door/routes.py
+++ b/asterwharf/door/routes.py
@@ -2,6 +2,7 @@
 
 from asterwharf.base.codes import trouble
 from asterwharf.scheduler.jobs import NAME
+from asterwharf.scheduler.queues import DEPTH, deep
 
 
 class Route:
@@ -32,17 +33,45 @@
     return int(txt) if txt.isdigit() and len(txt) < 16 else None
 
 
-def _config_put(e):
+def _based(e):
+    """What a change is based on, and who makes it."""
     raw = e.heads.get('If-Match')
     if raw is None:
         return trouble('need_match', 'If-Match: missing')
     seq = _seq(raw)
     if seq is None:
         return trouble('bad_field', f'If-Match: {raw!r} is not a sequence')
-    e.args.update(config=e.doc, base=seq, by=e.heads.get('X-Operator', '')[:64])
+    e.args.update(base=seq, by=e.heads.get('X-Operator', '')[:64])
     return None
 
 
+def _config_put(e):
+    e.args['config'] = e.doc
+    return _based(e)
+
+
+def _queues_put(e):
+    # too deep a document would not pass the wire between the nodes
+    if deep(e.doc):
+        return trouble('bad_config', f'.: nested deeper than {DEPTH}')
+    e.args['doc'] = e.doc
+    return _based(e)
+
+
+def _queues_change(e):
+    if deep(e.doc):
+        return trouble('bad_config', f'.: nested deeper than {DEPTH}')
+    bad = [f'{k}: unknown; known are drop, number, set' for k in e.doc if k not in ('number', 'set', 'drop')]
+    e.args.update(e.doc)
+    return trouble('bad_field', *bad) if bad else _based(e)
+
+
+def _zone(e):
+    e.args['emptied'] = e.method == 'PUT'
+    zone = e.args['zone']
+    return None if NAME.match(zone) else trouble('bad_field', f'zone: {zone!r} is not a name')
+
+
 def _config_get(e):
     seq = _seq(e.heads.get('If-None-Match'))
     if seq is not None:
@@ -90,7 +119,7 @@
 def _status(app, e):
     b = app.b
     out = {'node': b.me, 'role': b.role, 'zone': b.zone, 'inc': b.inc, 'leaving': b.leaving,
-           'sequence': b.sequence, 'fit': app.fit() == '',
+           'sequence': b.sequence, 'queues': b.atlas.number, 'fit': app.fit() == '',
            'holders': {g: {'name': n, 'view': v} for g, (n, v) in b.holders.items()},
            'links': sorted(b.links), 'errands': len(app.ferry.trips), 'counts': dict(sorted(b.count.items())),
            'nodes': {n: {k: r[k] for k in ('role', 'zone', 'http')} for n, r in sorted(b.nodes.items()) if r['role'] != 'tend'},
@@ -112,7 +141,7 @@
 def _metrics(app, e):
     """Numbers for a monitoring system: counters that only rise, gauges, and the alarms that stand."""
     b, gau = app.b, {'errands_open': len(app.ferry.trips), 'links': len(app.b.links), 'sequence': app.b.sequence,
-                     'fit': int(app.fit() == ''), 'leaving': int(app.b.leaving)}
+                     'queues': app.b.atlas.number, 'fit': int(app.fit() == ''), 'leaving': int(app.b.leaving)}
     for c in app.node.ctl:
         if hasattr(c, 'seat'):
             s = c.seat
@@ -144,6 +173,12 @@
     Route('POST', '/v1/config/check', 'core', 'judge', body=True, prepare=_check),
     Route('GET', '/v1/config/history', 'core', 'history', prepare=_history),
     Route('GET', '/v1/config/history/:sequence', 'core', 'history', prepare=_history),
+    Route('GET', '/v1/queues', 'core', 'queues_get', prepare=_config_get),
+    Route('PUT', '/v1/queues', 'core', 'queues_put', body=True, prepare=_queues_put),
+    Route('PATCH', '/v1/queues', 'core', 'queues_change', body=True, prepare=_queues_change),
+    Route('GET', '/v1/zones/emptied', 'core', 'emptied'),
+    Route('PUT', '/v1/zones/:zone/emptied', 'core', 'zone_set', prepare=_zone),
+    Route('DELETE', '/v1/zones/:zone/emptied', 'core', 'zone_set', prepare=_zone),
     Route('GET', '/v1/nodes', 'core', 'nodes'),
     Route('GET', '/v1/seats', 'core', 'seats'),
     Route('PUT', '/v1/seats/:old/replaced-by/:new', 'both', 'replace', prepare=_names),
--- /dev/null
+++ b/asterwharf/orchard/gate.py
@@ -0,0 +1,64 @@
+"""Answers the clients' requests at the holder of the cell whose minions call in. Pure."""
+
+import hashlib
+import json
+
+from asterwharf.scheduler.clerk import NOBODY, Clerk
+
+# of the time that an ended job is answered for: how long it is remembered
+KEEP = 2.0
+
+
+class Gate(Clerk):
+    """Looks a request up, judges it, orders the change, answers when it is delivered."""
+
+    __slots__ = ('swept',)
+
+    def __init__(self, b, core):
+        super().__init__(b, core)
+        self.swept = 0
+
+    def do_y_submit(self, a, give, cell):
+        """A yes needs no confirming: it is a delivery, or follows from one. A no does."""
+        mac = cell.mac
+        sm = hashlib.sha256(json.dumps(a['spec'], sort_keys=True).encode()).hexdigest()[:24]
+        old = mac.jobs.get(a['id'])
+        if old is not None:
+            same = old.sum == sm and old.queue == a['queue']['name']
+            return give('same') if same else self._sure(cell, give, lambda: give('other_body'))
+        if mac.open >= self.b.set.kept_jobs or len(cell.seat.waits) >= self.b.set.buffer:
+            # a deposed holder must not refuse what its successor may have taken
+            return self._sure(cell, give, lambda: give('overload', NOBODY) if a['id'] not in mac.jobs else give('unsure'))
+        doc = {'id': a['id'], 'queue': [a['queue']], 'spec': a['spec'], 'sum': sm, 'at': cell.wall}
+        return self._order(cell, 'y_submit', doc, give, lambda r: give(r))
+
+    def do_y_state(self, a, give, cell):
+        def fn():
+            j = cell.mac.jobs.get(a['id'])
+            if j is None or j.queue != a['queue']:
+                return give('unknown_job')
+            give('ok', {'state': j.state})
+        self._sure(cell, give, fn)
+
+    def do_y_cancel(self, a, give, cell):
+        def fn():
+            j = cell.mac.jobs.get(a['id'])
+            if j is None or j.queue != a['queue']:
+                return give('unknown_job')
+            self._order(cell, 'y_cancel', {'id': a['id'], 'queue': a['queue'], 'at': cell.wall}, give, lambda r: give(r))
+        self._sure(cell, give, fn)
+
+    def do_y_waiting(self, a, give, cell):
+        self._sure(cell, give, lambda: give('ok', {'waiting': cell.mac.waiting.get(a['queue'], 0)}))
+
+    def tick(self):
+        """Ended jobs are remembered for a time, then forgotten."""
+        part = self.b.cells.get('commons')
+        if part is None or not part.chair.takes or self.b.now < self.swept:
+            return
+        keep = self.b.set.call.status_ms * KEEP
+        self.swept = self.b.now + keep / 20
+        at = part.chair.wall
+        old = [j.id for j in part.chair.mac.jobs.values() if j.end and at - j.end > keep]
+        if old:
+            part.chair.order('y_forget', {'ids': old[:1000]})
--- /dev/null
+++ b/asterwharf/orchard/kinds.py
@@ -0,0 +1,16 @@
+"""The changes and rows of the cell whose minions call in, known since protocol 4."""
+
+from asterwharf.wire.schema import kind
+
+_QUEUE = {'name': 's', 'group': 's', 'priority': 'l', 'tries': 'l', 'stretch': 'd', 'aim_ms': 'd'}
+_RUN = {'task': 's', 'run': 'l'}
+# what minions and clients tell is bounded by their listeners; the steps of a job are JSON, as its client sent them
+kind(160, 'y_submit', (4, {'id': 's', 'queue': [_QUEUE], 'spec': 'j', 'sum': 's', 'at': 'l'}))
+kind(161, 'y_cancel', (4, {'id': 's', 'queue': 's', 'at': 'l'}))
+kind(162, 'y_due', (4, {'items': [{'id': 's', 'k': 'l'}], 'at': 'l'}))
+kind(163, 'y_start', (4, {'at': 'l', 'bundles': [{'items': [dict(_RUN, mid='s')]}]}))
+kind(164, 'y_end', (4, {'at': 'l', 'mid': 's', 'items': [dict(_RUN, how='s', save='s')]}))
+kind(165, 'y_lapse', (4, {'at': 'l', 'items': [dict(_RUN, mid='s', how='s', save='s')]}))
+kind(166, 'y_stop', (4, {'at': 'l', 'items': [_RUN]}))
+kind(167, 'y_forget', (4, {'ids': 'S'}))
+kind(170, 'r_yard', (4, {'v': 'j'}))
--- /dev/null
+++ b/asterwharf/orchard/tender.py
@@ -0,0 +1,309 @@
+"""The holder's side of minions that call in: takes beats, gives holds, starts and stops, keeps the timers. Pure.
+
+The link of the source design, derived: a minion's first acknowledged beat registers it, `running` is its in-flight
+report, the time since its last beat and its ends above what was noted are the gap. See docs/link.md.
+"""
+
+import heapq
+
+from asterwharf.base.board import Controller
+
+DISCONNECTED, REGISTERING, REGISTERED, RECOVERING, CLOSED = 'disconnected', 'registering', 'registered', 'recovering', 'closed'
+STEPS = {DISCONNECTED: {REGISTERING, CLOSED, RECOVERING}, REGISTERING: {REGISTERED, RECOVERING, CLOSED},
+         REGISTERED: {RECOVERING, CLOSED}, RECOVERING: {REGISTERING, DISCONNECTED, CLOSED}, CLOSED: set()}
+
+# a minion's clock may be slow by this much
+DRIFT = 0.98
+# of the second after which an answer is dropped: how long a beat with nothing to say may wait, idle and busy
+IDLE, BUSY = 0.7, 0.12
+# beats a second that one holder takes before it lets busy minions wait longer
+BEATS = 200
+# of the time between beats: silence after which a minion gets no starts, and after which its runs recover
+FRESH, SILENT = 0.8, 2.0
+# of the silence bound: how long after an answered beat was sent holds may still be given
+LEASE = 0.8
+
+
+class Link:
+    """What the holder knows of one minion beyond what is delivered."""
+
+    __slots__ = ('answered', 'begun', 'count', 'doc', 'drain', 'due', 'ended', 'gave', 'give', 'group', 'held', 'kind', 'labels', 'lapse',
+                 'leaves', 'mid', 'noted', 'noting', 'rack', 'recv', 'room', 'running', 'state', 'timers', 'zone')
+
+    def __init__(self, mid, now):
+        self.mid, self.state, self.doc, self.recv, self.answered, self.count = mid, DISCONNECTED, None, now, now, -1
+        self.give, self.due, self.lapse, self.noted, self.noting = None, 0, 0, 0, 0
+        # held: what it runs or was told to since; gave: runs given up in a change that may not be delivered yet
+        self.running, self.ended, self.timers, self.held, self.gave = {}, {}, {}, {}, {}
+        self.drain, self.leaves, self.group, self.zone, self.labels, self.rack, self.kind = 0, 0, '', '', (), '', ''
+        self.room, self.begun = (0, 0, 0), {}
+
+    def turn(self, new):
+        """The one function for every change of a link's state."""
+        if new != self.state and new not in STEPS[self.state]:
+            raise AssertionError(f'link {self.mid}: {self.state} -> {new}')
+        self.state = new
+
+
+class Tender(Controller):
+    """Lives on every seat; acts only where the seat holds."""
+
+    __slots__ = ('cell', 'due', 'heap', 'links', 'look', 'n', 'term', 'watch')
+
+    def __init__(self, b, cell):
+        super().__init__(b)
+        self.cell, self.term, self.watch = cell, -1, None
+        self._fresh()
+
+    def _fresh(self):
+        self.links, self.look, self.heap, self.n, self.due = {}, set(), [], 0, 0
+
+    @property
+    def mac(self):
+        return self.cell.mac
+
+    @property
+    def hold_ms(self):
+        return self.b.set.call.hold_ms
+
+    # --- the calls
+    def beat(self, mid, d, give):
+        """A minion's account of itself; `give(code, body)` answers it once, within the second it is worth."""
+        if not self._acts():
+            return self._elsewhere(give)
+        b, now = self.b, self.b.now
+        l = self.links.get(mid)
+        if l is None or l.state == CLOSED:
+            l = self.links[mid] = Link(mid, now)
+        if d['count'] <= l.count:
+            # overtaken by a later one: nobody waits for this answer
+            return give('ok', {})
+        if l.give is not None:
+            l.give('ok', {})
+        b.count['beats'] += 1
+        self._take(l, d, now)
+        l.give = give
+        if not self._ends(l, d):
+            l.give = None
+            return self._elsewhere(give)
+        busy = bool(l.running)
+        wait = min(IDLE, max(BUSY, len(self.links) / BEATS)) if busy else IDLE
+        l.due = now + int(1000 * wait)
+        self.n += 1
+        heapq.heappush(self.heap, (l.due, self.n, mid))
+        self.look.add(mid)
+        return None
+
+    def leave(self, mid, give):
+        """The minion ends in good order: the link is closed on purpose."""
+        if not self._acts():
+            return self._elsewhere(give)
+        l = self.links.get(mid)
+        if l is not None and l.state != CLOSED:
+            if l.give is not None:
+                l.give('ok', {})
+                l.give = None
+            l.turn(CLOSED)
+            # what it may still hold dies with it, in a moment
+            l.lapse = min(l.lapse or self.b.now, self.b.now + self.b.set.call.stop_grace_ms)
+            self.b.count['left'] += 1
+        return give('ok', {})
+
+    def _acts(self):
+        return self.cell.takes and self.term == self.cell.seat.view and self._leased()
+
+    def _leased(self):
+        """Whether no other seat can hold a newer view yet: a majority answered a beat sent a moment ago."""
+        s = self.cell.seat
+        return s.ten is not None and self.b.now - s.ten.lease() < s.cfg.silence_ms * LEASE
+
+    def _elsewhere(self, give):
+        b = self.b
+        nam = b.holders.get(self.cell.grp, ('', 0))[0]
+        adr = b.nodes.get(nam, {}).get('calls', '') if nam != b.me and nam in b.links else ''
+        if adr:
+            return give('elsewhere', {'address': adr})
+        return give('no_holder', {'retry_ms': b.set.view.silence_ms})
+
+    # --- a beat
+    def _take(self, l, d, now):
+        gap, was = now - l.recv, l.state
+        l.count, l.recv, l.doc = d['count'], now, d
+        l.group, l.zone, l.labels = d['group'], d['zone'], d['labels']
+        l.kind, l.rack = (list(l.labels) + ['', ''])[:2]
+        l.room = d['cpu'], d['mem'], d['gpus']
+        l.running = {r[0]: (r[1], r[2], r[3]) for r in d['running']}
+        for k in l.running.keys() - l.begun.keys():
+            l.begun[k] = now
+        for k in l.begun.keys() - l.running.keys():
+            del l.begun[k]
+        if d['state'] == 'draining':
+            l.drain = l.drain or now
+        left = d.get('leaves_at_ms')
+        l.leaves = now + left if left is not None and d['state'] == 'draining' else 0
+        if was in (DISCONNECTED, RECOVERING):
+            l.turn(REGISTERING)
+            new = sum(f[0] > l.noted for f in d['finished'])
+            # the gap, before the backlog of ends is taken in
+            if was == RECOVERING or new:
+                self.b.count['gaps'] += 1
+                self.b.log('info', 'gap', minion=l.mid, outage_ms=gap, ends=new, running=len(l.running))
+        # reconciliation: what the minion says it runs needs no recovery any more
+        l.timers = {}
+        l.ended = {f[1]: f[2] for f in d['finished']}
+        l.held = {k: r[0] for k, r in l.running.items()}
+        box = self.mac.on.get(l.mid, {})
+        l.gave = {k: r for k, r in l.gave.items() if k in box and self.mac.run_of(box[k], l.mid) == r}
+
+    def _ends(self, l, d):
+        """Orders the ends that are not noted yet; False when this seat can't."""
+        new = [f for f in d['finished'] if f[0] > l.noting]
+        if not new:
+            return True
+        top, term = max(f[0] for f in new), self.term
+
+        def then(r):
+            if r is None or term != self.term:
+                return
+            l.noted = max(l.noted, top)
+            self.look.add(l.mid)
+        items = [{'task': f[1], 'run': f[2], 'how': f[3], 'save': f[4]} for f in new]
+        if not self.cell.order('y_end', {'at': self.cell.wall, 'mid': l.mid, 'items': items}, then):
+            return False
+        l.noting = top
+        self.b.count['ends'] += len(new)
+        return True
+
+    # --- an answer
+    def _orders(self, l):
+        """(starts, stops) to tell, and what was placed there but must not begin."""
+        mac, mid = self.mac, l.mid
+        start, stop, never = [], [[k, r] for k, r in self.strays(l)], []
+        no = l.drain or l.zone in self.b.atlas.emptied
+        for k, t in mac.on.get(mid, {}).items():
+            run, rep = mac.run_of(t, mid), l.running.get(k)
+            off = t.stop or t.step.job.fate
+            if rep is not None and rep[0] == run:
+                if off:
+                    stop.append([k, run])
+            # ended there, or given up by a change that is under way: no start may be told any more
+            elif l.ended.get(k) == run or l.gave.get(k) == run:
+                continue
+            elif off or no:
+                never.append({'task': k, 'run': run, 'mid': mid, 'how': 'never', 'save': ''})
+            else:
+                start.append([k, run, t.step.job.payload, t.save])
+        return start, stop, never
+
+    def strays(self, l):
+        """What a minion may hold that is no run of ours any more: it is stopped, and takes room until it has ended."""
+        mac, box = self.mac, self.mac.on.get(l.mid, {})
+        return [(k, r) for k, r in l.held.items() if k not in box or mac.run_of(box[k], l.mid) != r]
+
+    def _answer(self, l):
+        start, stop, never = self._orders(l)
+        # not in the minion's own list, and every earlier answer is spent: it never began there
+        if never and self.cell.order('y_lapse', {'at': self.cell.wall, 'items': never}):
+            l.gave.update((i['task'], i['run']) for i in never)
+        late = self.b.now >= l.due
+        if not (start or stop or late or l.drain) or (l.noting > l.noted and not late):
+            return
+        if not self._leased():
+            give, l.give = l.give, None
+            return self._elsewhere(give)
+        give, l.give = l.give, None
+        if l.state == REGISTERING:
+            l.turn(REGISTERED)
+        l.answered = self.b.now
+        l.lapse = max(l.lapse, l.recv + int(self.hold_ms / DRIFT) + 1)
+        self.b.count['starts'] += len(start)
+        l.held.update((r[0], r[1]) for r in start)
+        give('ok', {'hold_ms': self.hold_ms, 'seen': l.noted, 'fence': self.term, 'start': start, 'stop': stop,
+                    'again_ms': 20 if not l.drain else 100, 'address': self.b.hello()['calls']})
+
+    def flush(self):
+        mac = self.mac
+        if mac.changed:
+            if self.term >= 0:
+                self.look |= mac.changed
+            mac.changed.clear()
+        if self.term < 0:
+            mac.ended.clear()
+            return
+        if not self.look:
+            return
+        look, self.look = self.look, set()
+        for mid in look:
+            l = self.links.get(mid)
+            if l is not None and l.give is not None:
+                self._answer(l)
+        self.cell.flush()
+
+    # --- time
+    def tick(self):
+        b, s = self.b, self.cell.seat
+        term = s.view if self.cell.holds else -1
+        if term != self.term:
+            self._turn(term)
+        if term < 0:
+            return
+        while self.heap and self.heap[0][0] <= b.now:
+            self.look.add(heapq.heappop(self.heap)[2])
+        if b.now >= self.due:
+            self.due = b.now + 50
+            for l in list(self.links.values()):
+                self._watch(l)
+
+    def _turn(self, term):
+        """A view begins or ends here."""
+        for l in self.links.values():
+            if l.give is not None:
+                self._elsewhere(l.give)
+        self._fresh()
+        self.term = term
+        if term < 0:
+            return
+        b = self.b
+        # the holds that the last holder gave are not known: the longest it can have given
+        far = b.now + int((b.set.view.silence_ms + self.hold_ms) / DRIFT) + 1
+        for mid in self.mac.on:
+            l = self.links[mid] = Link(mid, b.now)
+            l.lapse = far
+            l.turn(RECOVERING)
+            self._recover(l)
+
+    def _recover(self, l):
+        """A timer for each run that the minion may hold."""
+        mac = self.mac
+        l.timers = {k: (mac.run_of(t, l.mid), l.lapse) for k, t in mac.on.get(l.mid, {}).items()}
+
+    def _watch(self, l):
+        b, beat = self.b, self.b.set.call.beat_ms
+        if l.give is None and l.state in (REGISTERING, REGISTERED) and b.now - max(l.recv, l.answered) > beat * SILENT:
+            l.turn(RECOVERING)
+            self._recover(l)
+        if l.state == RECOVERING and not l.timers and self.mac.on.get(l.mid):
+            self._recover(l)
+        if l.state == CLOSED and not l.timers:
+            self._recover(l)
+        if l.timers and l.state in (RECOVERING, CLOSED):
+            self._expire(l)
+        if not self.mac.on.get(l.mid) and l.state in (CLOSED, RECOVERING) and b.now - l.recv > beat * 20:
+            del self.links[l.mid]
+
+    def _expire(self, l):
+        over = {k: r for k, (r, at) in l.timers.items() if self.b.now >= at}
+        if not over:
+            return
+        items = [{'task': k, 'run': r, 'mid': l.mid, 'how': 'lapsed', 'save': l.running.get(k, (0, ''))[1] if
+                  l.running.get(k, (0,))[0] == r else ''} for k, r in over.items()]
+        if self.cell.order('y_lapse', {'at': self.cell.wall, 'items': items}):
+            self.b.count['lapsed'] += len(items)
+            l.gave.update((i['task'], i['run']) for i in items)
+            l.timers = {k: v for k, v in l.timers.items() if k not in over}
+
+    def open(self, l):
+        """Whether a start may be placed there now."""
+        if l.state not in (REGISTERED, REGISTERING) or l.drain or l.leaves:
+            return False
+        return l.give is not None or self.b.now - l.answered < self.b.set.call.beat_ms * FRESH
--- a/asterwharf/ring/meet.py
+++ b/asterwharf/ring/meet.py
@@ -1,6 +1,6 @@
 """How nodes find one another from the seeds, and how a core is founded. Pure."""
 
-from asterwharf.base.board import Controller
+from asterwharf.base.board import ROW, Controller
 
 
 class Meet(Controller):
@@ -39,6 +39,9 @@
             if b.now - self.dialed.get(a, -1 << 40) >= self.pace * 0.5:
                 self.dialed[a] = b.now
                 b.do('dial', a)
+        # a core of one has nobody to meet
+        if b.set.core_size == 1 and self.empty:
+            self._found()
         pic = (sorted(b.nodes), sorted(b.holders.items()), self.empty, sorted(self.empties))
         # news goes at once, and now and then all the same
         if pic != self.seen or b.now - self.told > self.pace * 2:
@@ -65,7 +68,7 @@
     # --- the roll
     def tell(self, peer):
         b = self.b
-        met = {b.me: b.inc} | {n: e['inc'] for n, e in self.empties.items()} if self.empty else {}
+        met = {b.me: b.inc} | {n: e['inc'] for n, e in self._others().items()} if self.empty else {}
         b.send(peer, 'roll', node=[r for r in b.nodes.values() if r['role'] != 'tend'], empty=self.empty, inc=b.inc,
                known=sorted(f'{n}#{i}' for n, i in met.items()), met=sorted(b.links), holders={g: list(h) for g, h in b.holders.items()})
 
@@ -76,7 +79,10 @@
             return
         # the word of a node itself, or of one that meets it, beats an older address
         if old is None or row['name'] in b.links or row['name'] in met or old['inc'] == row['inc']:
-            b.nodes[row['name']] = {k: row[k] for k in ('name', 'role', 'addr', 'zone', 'http', 'inc')}
+            got = b.nodes[row['name']] = {k: row[k] for k in ROW}
+            # a greeting is in the oldest words, which know no `calls`: what the process said of itself before stands
+            if not got['calls'] and old is not None and old['inc'] == got['inc']:
+                got['calls'] = old['calls']
 
     def on_roll(self, src, d):
         b = self.b
@@ -97,17 +103,28 @@
             self.empties[src] = {'inc': d['inc'], 'known': d['known']}
         self._found()
 
+    def _others(self):
+        """The empty core nodes that may found with this one: of given founders only those."""
+        b = self.b
+        if not b.set.founders:
+            return self.empties
+        return {n: e for n, e in self.empties.items() if b.nodes.get(n, {}).get('addr') in b.set.founders}
+
     def _found(self):
-        """Only when every core process has met every other, and all say "empty"."""
+        """Only when every core process that founds has met every other, and all say "empty"."""
         b = self.b
-        if not self.empty or len(self.empties) != b.set.core_size - 1:
+        # one that has lost its disk, or came later, must not begin a second core beside the first
+        if not self.empty or not b.set.found or (b.set.founders and b.set.bind not in b.set.founders):
+            return
+        others = self._others()
+        if len(others) != b.set.core_size - 1:
             return
-        met = {b.me: b.inc} | {n: e['inc'] for n, e in self.empties.items()}
+        met = {b.me: b.inc} | {n: e['inc'] for n, e in others.items()}
         mark = sorted(f'{n}#{i}' for n, i in met.items())
-        if any(e['known'] != mark for e in self.empties.values()):
+        if any(e['known'] != mark for e in others.values()):
             return
         # they must hear that we have met them too, or they would wait for ever
-        for p in self.empties:
+        for p in others:
             self.tell(p)
         for c in self.chairs:
             c.found(met)
--- a/asterwharf/scheduler/clerk.py
+++ b/asterwharf/scheduler/clerk.py
@@ -3,8 +3,10 @@
 import base64
 import heapq
 
+from expression import Ok
+
 from asterwharf.base.board import Controller
-from asterwharf.scheduler import config, jobs, show
+from asterwharf.scheduler import config, jobs, queues, show
 from asterwharf.scheduler.emptier import zones
 from asterwharf.scheduler.model import FINAL
 from asterwharf.wire.schema import unpack
@@ -142,6 +144,74 @@
         doc = {'tenant': a['tenant'], 'was': a['was'], 'part': a['part'], 'last': a['last'], 'rows': [{'v': v} for v in raws]}
         self._order(cell, 't_import', doc, give, lambda r: give('ok', {'part': r}))
 
+    # --- queues, groups, emptied zones
+    def do_queues_get(self, a, give, cell):
+        def fn():
+            head, doc = self.core.mac.queues
+            if head['number'] == a.get('known', -1):
+                return give('no_news', {'number': head['number']})
+            give('ok', dict(head, doc=doc or {}))
+        self._sure(self.core, give, fn)
+
+    def do_queues_put(self, a, give, cell):
+        self._queues(a, give, a.get('doc'), Ok)
+
+    def do_queues_change(self, a, give, cell):
+        req = {k: a[k] for k in ('number', 'set', 'drop') if k in a}
+        self._queues(a, give, req, lambda r: queues.changed(self.core.mac.queues[1], r))
+
+    def _queues(self, a, give, req, make):
+        """Orders the document that `make` gives for the request; a yes needs no confirming, a stale base does."""
+        base, txt = a.get('base'), queues.text(req)
+        if type(base) is not int or not 0 <= base <= queues.BIG:
+            return give('bad_field', {'details': [f'base: {base!r} is not a number']})
+        if txt.is_error():
+            return give(txt.error.code, {'details': txt.error.more})
+        dig = queues.digest(base, txt.ok)
+        got = self._settled(dig, base)
+        if got and got[0] != 'ok':
+            # a holder that was deposed may know less than its successor: it must not refuse
+            return self._sure(self.core, give, lambda: give(*(self._settled(dig, base) or ('unsure', NOBODY))))
+        if got:
+            return give(*got)
+        # from here on mistakes are the same whoever finds them: the document under the base never changes
+        new = make(req)
+        if new.is_error():
+            return give(new.error.code, {'details': new.error.more})
+
+        def done(res):
+            if res.is_error():
+                return give(res.error.code, {'details': res.error.more})
+            doc = {'number': res.ok, 'base': base, 'by': str(a.get('by') or '')[:64], 'at': self.core.wall, 'sum': dig,
+                   'doc': queues.squeeze(txt.ok if new.ok is req else queues.text(new.ok).ok)}
+            self._order(self.core, 'c_queues', doc, give, then)
+
+        def then(r):
+            if r['word'] == 'bad':
+                return give('bad_config', {'details': [f"number: {new.ok['number']} is not above {r['number']}"]})
+            give(r['word'], {'number': r['number']})
+        self.b.chore(queues.checking(new.ok, base), done)
+
+    def _settled(self, dig, base):
+        """(code, body) where the order was accepted before, or its base is not the number in force; else None."""
+        mac = self.core.mac
+        if dig in mac.taken:
+            return 'ok', {'number': mac.taken[dig]}
+        return ('stale', {'number': mac.number}) if base != mac.number else None
+
+    def do_zone_set(self, a, give, cell):
+        zone, on = a.get('zone'), a.get('emptied')
+        if not isinstance(zone, str) or not jobs.NAME.match(zone) or not isinstance(on, bool):
+            return give('bad_field', {'details': [f'zone: {zone!r}, emptied: {on!r}']})
+        self._order(self.core, 'c_zone', {'zone': zone, 'emptied': on, 'at': self.core.wall}, give,
+                    lambda r: give('ok', {'zone': zone, 'emptied': on}))
+
+    def do_emptied(self, a, give, cell):
+        def fn():
+            at = self.core.mac.atlas
+            give('ok', {'zones': [{'zone': z, 'since': int(at.rows[f'empty:{z}'][1])} for z in sorted(at.emptied)]})
+        self._sure(self.core, give, fn)
+
     def do_nodes(self, a, give, cell):
         def fn():
             b = self.b
--- a/asterwharf/scheduler/core.py
+++ b/asterwharf/scheduler/core.py
@@ -1,15 +1,20 @@
-"""The state machine of the core group: the configuration and the cell directory. Pure."""
+"""The state machine of the core group: the configuration, the queues document, the directory. Pure."""
 
 import json
 
+from asterwharf.scheduler import queues
 from asterwharf.scheduler.atlas import Atlas
 from asterwharf.wire.schema import PROTO, pack, unpack
 
 
+# accepted queues documents whose orders are remembered, so that a repeated one is answered as the first was
+KEPT = 64
+
+
 class Core:
     """One whole document replaces the last; of rivals on one base, one wins."""
 
-    __slots__ = ('atlas', 'conf', 'dirty', 'floor', 'reads')
+    __slots__ = ('atlas', 'conf', 'dirty', 'floor', 'reads', 'taken')
 
     def __init__(self):
         self.reads = self.floor = PROTO
@@ -17,10 +22,14 @@
 
     def load(self, rows):
         self.conf, self.atlas, self.dirty = {'sequence': 0, 'base': 0, 'by': '', 'at': 0, 'doc': b''}, Atlas(), set()
+        # the sum of an order -> the number that it was accepted under, oldest first
+        self.taken = {}
         for k, raw in rows.items():
             d = unpack(raw, self.reads)[1]
             if k == 'conf':
                 self.conf = d
+            elif k == 'taken':
+                self.taken = {r['sum']: r['number'] for r in d['rows']}
             else:
                 self.atlas.merge([(d['k'], d['op'], d['v'])])
 
@@ -29,6 +38,8 @@
         for k in sorted(self.dirty):
             if k == 'conf':
                 out[k] = pack('c_config', self.conf)
+            elif k == 'taken':
+                out[k] = pack('r_taken', {'rows': [{'sum': s, 'number': n} for s, n in self.taken.items()]})
             else:
                 op, v = self.atlas.rows[k]
                 out[k] = pack('r_dir', {'k': k, 'op': op, 'v': v})
@@ -39,6 +50,16 @@
     def sequence(self):
         return self.conf['sequence']
 
+    @property
+    def number(self):
+        return self.atlas.number
+
+    @property
+    def queues(self):
+        """(who sent it and when, the queues document as it was sent)."""
+        raw = self.atlas.rows.get('queues', (0, b''))[1]
+        return queues.head(raw), queues.body(raw)
+
     def apply(self, op, raw):
         knd, d = unpack(raw, self.reads)
         return getattr(self, knd)(op, d)
@@ -55,6 +76,31 @@
         self.dirty.add('conf')
         return {'ok': True, 'sequence': self.sequence}
 
+    def c_queues(self, op, d):
+        """A word and the number in force: 'ok' (now or before), 'stale' by its base, 'bad' by its number."""
+        # what was accepted stays accepted, whatever came since: its sender may not have heard
+        if d['sum'] in self.taken:
+            return {'word': 'ok', 'number': self.taken[d['sum']]}
+        now = self.number
+        # looked at here, in the one order, so rivals can't both win
+        if d['base'] != now:
+            return {'word': 'stale', 'number': now}
+        if d['number'] <= now:
+            return {'word': 'bad', 'number': now}
+        self._put(op, 'queues', queues.row(d))
+        self.taken[d['sum']] = d['number']
+        if len(self.taken) > KEPT:
+            del self.taken[next(iter(self.taken))]
+        self.dirty.add('taken')
+        return {'word': 'ok', 'number': d['number']}
+
+    def c_zone(self, op, d):
+        """Nothing more starts on the minions of an emptied zone, until it is taken back."""
+        # a repeated order finds it done, and no row is made of a zone that was never emptied
+        if (d['zone'] in self.atlas.emptied) != d['emptied']:
+            self._put(op, f"empty:{d['zone']}", str(d['at']).encode() if d['emptied'] else b'')
+        return True
+
     def c_node(self, op, d):
         """Of the first release; nothing is kept of it any more."""
         return True
--- a/asterwharf/scheduler/ferry.py
+++ b/asterwharf/scheduler/ferry.py
@@ -3,11 +3,11 @@
 from asterwharf.base.board import Controller
 
 # errands that change nothing may be given up on with "come again"; the others only with "unsure"
-READS = frozenset(('job', 'import', 'own', 'jobs', 'minions', 'zones', 'minion', 'claims', 'config_get', 'nodes', 'cells', 'why', 'seats', 'history', 'judge'))
+READS = frozenset(('job', 'import', 'own', 'jobs', 'minions', 'zones', 'minion', 'claims', 'config_get', 'queues_get', 'emptied', 'nodes', 'cells', 'why', 'seats', 'history', 'judge'))
 
 
 # refusals that another holder might not have given
-REFUSALS = frozenset(('tenant_full', 'overload', 'unknown_tenant', 'beyond_limits', 'bad_size', 'bad_field'))
+REFUSALS = frozenset(('tenant_full', 'overload', 'unknown_tenant', 'beyond_limits', 'bad_size', 'bad_field', 'stale', 'bad_config'))
 
 
 class Trip:
--- a/asterwharf/sickle/main.py
+++ b/asterwharf/sickle/main.py
@@ -11,6 +11,7 @@
 from asterwharf.sickle.ask import Refused, call, nodes
 from asterwharf.sickle.common import At, File, Js, Within, doors, read, show
 from asterwharf.sickle.config import config, edit, policy
+from asterwharf.sickle.queues import evacuate, queues, readmit, zones_evacuated
 from asterwharf.sickle.show import table
 from asterwharf.sickle.trouble import findings, gather
 
@@ -19,8 +20,10 @@
 minion = App(name='minion', help='Drain a minion, take it back, state that it is gone.')
 job = App(name='job', help='One job.')
 seat = App(name='seat', help='Replace a core machine that is gone for good.')
-for a in (config, policy, zone, minion, job, seat):
+for a in (config, policy, queues, zone, minion, job, seat):
     app.command(a)
+for n, f in (('evacuate', evacuate), ('readmit', readmit), ('evacuated', zones_evacuated)):
+    zone.command(f, name=n)
 
 
 def _zone(name, on, at, within=None):
--- a/asterwharf/sim/world.py
+++ b/asterwharf/sim/world.py
@@ -24,6 +24,8 @@
         self.hosts, self.addrs, self.conns, self.cuts = {}, {}, {}, set()
         self.log, self.count, self.loss, self.dup, self.lag = [], {}, 0.0, 0.0, (1, 4)
         self.broke, self.sight = 3000, {'true': 0, 'false': 0}
+        # told the name of each process that dies; syncs of all disks
+        self.ended, self.syncs = [], 0
 
     # --- time
     def at(self, t, fn, *args):
@@ -95,6 +97,8 @@
         self.say(name, 'kill')
         for c in self.of(name):
             self._break(c)
+        for fn in self.ended:
+            fn(name)
 
     def wipe(self, name):
         """The disk is lost, with its incarnation; the process must be dead."""
@@ -142,6 +146,13 @@
         if h.alive and h.node is not None:
             self._effects(h)
 
+    def ask(self, h, fn, *args):
+        """Lets a request from outside act on the host's node: time is looked at first, as in the daemon's turn."""
+        def act():
+            h.node.at(*self.clocks(h))
+            fn(*args)
+        self._do(h, act)
+
     def _tick(self, h, life):
         if h.life != life or not h.alive:
             return
@@ -230,6 +241,7 @@
         if h.life != life or not h.alive:
             return
         bats, h.heap, h.held = h.heap, [], h.slow > 0
+        self.syncs += 1
         self.after(self.rng.randint(1, 4) + h.slow, self._synced, h, life, bats, self.t)
 
     def _synced(self, h, life, bats, beg):
@@ -359,10 +371,22 @@
     def heal(self):
         self.cuts.clear()
         self.say('', 'heal')
+        self._flow()
+
+    def mend(self, pairs):
+        """Heals these directions only."""
+        self.cuts.difference_update(pairs)
+        self.say('', 'mend', pairs=len(pairs))
+        self._flow()
+
+    def _flow(self):
         for c in list(self.conns.values()):
-            if c.stuck is not None:
-                c.stuck = None
-                for src in (c.a, c.b):
+            if c.stuck is None:
+                continue
+            for src in (c.a, c.b):
+                if (src, c.other(src)) not in self.cuts:
                     raws, c.held[src] = c.held[src], []
                     for r in raws:
                         self._post(c, src, r)
+            if not c.held[c.a] and not c.held[c.b]:
+                c.stuck = None
--- a/asterwharf/view/tenure.py
+++ b/asterwharf/view/tenure.py
@@ -2,6 +2,9 @@
 
 from asterwharf.view.log import Entry
 
+# beats whose time of sending is kept
+KEPT = 64
+
 
 class Way:
     """How far one sibling has come."""
@@ -16,11 +19,13 @@
 class Tenure:
     """Lives from the majority that gave it to the silence or the view that ends it."""
 
-    __slots__ = ('beat', 'heir', 'heir_at', 'last_beat', 'opened', 'reads', 'seat', 'slows', 'taking', 'urgent', 'ways', 'wishes')
+    __slots__ = ('beat', 'flown', 'heir', 'heir_at', 'last_beat', 'opened', 'reads', 'seat', 'slows', 'taking', 'urgent', 'ways', 'wishes')
 
     def __init__(self, seat):
         self.seat, self.beat, self.last_beat, self.reads, self.urgent = seat, 0, -1 << 40, [], False
         self.opened, self.taking, self.heir, self.heir_at, self.slows = 0, True, '', 0, 0
+        # beat -> when it was sent, for what a majority has answered
+        self.flown = {}
         # an operator's word: the seat out of sight -> the newcomer that takes it
         self.wishes = {}
         self.ways = {s: Way(seat.now, seat.log.last + 1, seat.log.seats[s]) for s in seat.others()}
@@ -68,7 +73,8 @@
         s = self.seat
         if self.urgent:
             self.beat += 1
-            self.last_beat = s.now
+            self.last_beat = self.flown[self.beat] = s.now
+            self.flown.pop(self.beat - KEPT, None)
         for n, w in self.ways.items():
             if w.snap is not None:
                 if self.urgent and s.now - w.sent > s.cfg.silence_ms:
@@ -189,6 +195,20 @@
                 out.append((tok, bt))
         self.reads = out
 
+    def lease(self):
+        """When the newest beat that a majority has answered was sent: no other seat was backed before that."""
+        s = self.seat
+        if self.heir:
+            # the one that was named may hold at any moment
+            return -1 << 40
+        if len(s.log.seats) == 1:
+            return s.now
+        for bt in sorted({w.beat for w in self.ways.values()}, reverse=True):
+            got = {n for n, w in self.ways.items() if w.beat >= bt and w.inc == s.log.seats.get(n)}
+            if s.enough(got | {s.name}):
+                return self.flown.get(bt, -1 << 40)
+        return -1 << 40
+
     def ask(self, tok, soon=True):
         # the beat that will confirm it has not been sent yet
         self.reads.append((tok, self.beat + 1))
--- a/asterwharf/wire/daemon.py
+++ b/asterwharf/wire/daemon.py
@@ -10,17 +10,18 @@
 import sys
 
 from circuits import BaseComponent, handler
-from circuits.core.pollers import EPoll
-from circuits.net.sockets import TCPServer
 
 from asterwharf.base import logs, settings
 from asterwharf.clock.boot import boot_ms
 from asterwharf.disk.store import Corrupt
-from asterwharf.wire.links import Leg, Side
+from asterwharf.wire.links import Leg, Sides
+from asterwharf.wire.tcp import Listener, Poll
 from asterwharf.wire.trials import Trials
 
 TICK = 0.02
 SLOWEST = 100
+# how often the settings file is looked at, in ms: it may change without a signal
+LOOK = 1000
 
 
 class Daemon(BaseComponent):
@@ -28,8 +29,9 @@
 
     channel = 'wire'
 
-    def init(self, node, store, over=None, path='', cuts=''):
-        self.node, self.store, self.b = node, store, node.b
+    def init(self, node, store, over=None, path='', cuts='', load=settings.load, watch=False):
+        """`load(path, over)` reads the settings file again: a Result of Settings; with `watch` also without a signal."""
+        self.node, self.store, self.b, self.load = node, store, node.b, load
         self.conns, self.peers, self.legs, self.again, self.dialled = {}, {}, {}, True, set()
         self.over, self.path, self.trials = over or {}, path, Trials(cuts)
         st = self.b.set
@@ -37,8 +39,11 @@
         if node.b.role != 'trellis':
             self.tick_ms = min(SLOWEST, self.tick_ms * 2)
         self.due, self.code, self.end, self.parts = boot_ms(), 0, 0, []
-        EPoll().register(self)
-        self.srv = TCPServer(settings.address(st.bind), bufsize=1 << 18, channel='wire').register(self)
+        # while leaving: whether nothing is held here, and when that is looked at again
+        self.free, self.hand = False, 0
+        self.mark, self.look = self._stamp(), self.due + LOOK if watch else float('inf')
+        Poll().register(self)
+        self.srv = Listener(settings.address(st.bind), Sides(self), 'wire').register(self)
 
     # --- turns
     @handler('generate_events', channel='*', priority=10)
@@ -49,6 +54,8 @@
             self.node.tick(now, self.trials.wall())
             self.due, self.again = now + self.tick_ms, True
             self._sweep(now)
+            if now >= self.look:
+                self._look(now)
             if self.b.leaving:
                 self._leave(now)
         if self.again:
@@ -115,6 +122,11 @@
         """Something outside the wire has changed the node: flush at the end of this turn."""
         self.again = True
 
+    def at(self):
+        """The node learns the time; what comes from outside the wire calls it first."""
+        self.node.at(boot_ms(), self.trials.wall())
+        self.again = True
+
     # --- messages
     def _send(self, dst, knd, doc):
         if dst == self.b.me:
@@ -202,23 +214,6 @@
                     c.unreached(addr)
             self.again = True
 
-    @handler('connect')
-    def _on_connect(self, sock, host, port):
-        c = self.conns[sock] = Side(self, sock)
-        c.hello()
-
-    @handler('read')
-    def _on_read(self, sock, data):
-        c = self.conns.get(sock)
-        if c is not None:
-            c.read(data)
-
-    @handler('disconnect')
-    def _on_disconnect(self, sock):
-        c = self.conns.get(sock)
-        if c is not None:
-            self.gone(c)
-
     @handler('error')
     def _on_error(self, *args):
         # a reset or refused socket is told by its disconnect; here it is only counted
@@ -250,7 +245,11 @@
         logs.say('info', 'leaving')
 
     def _leave(self, now):
-        done = all(p.idle() for p in self.parts) and self.idle()
+        # duties are handed over at once, while callers are still seen to; where all leave together,
+        # handing them round and round would only keep the groups from their work
+        if not self.free or now >= self.hand:
+            self.free, self.hand = self.idle(), now + self.b.set.view.silence_ms
+        done = all([p.idle() for p in self.parts]) and self.free and self.idle()
         if done or now >= self.end:
             self.stop_now(0)
 
@@ -265,9 +264,23 @@
         sys.stderr.flush()
         os._exit(code)
 
+    def _stamp(self):
+        """What tells one state of the settings file from another; None where there is none."""
+        try:
+            s = os.stat(self.path)
+        except OSError:
+            return None
+        return s.st_mtime_ns, s.st_size, s.st_ino
+
+    def _look(self, now):
+        self.look = now + LOOK
+        if self._stamp() not in (None, self.mark):
+            self.reread()
+
     def reread(self):
-        """SIGHUP: the safe part of the settings file; a bad file is refused and the old one kept."""
-        res = settings.load(self.path, self.over)
+        """The safe part of the settings file; a bad file is refused and the old one kept."""
+        self.mark = self._stamp()
+        res = self.load(self.path, self.over)
         if res.is_error():
             self.wake()
             self.b.clear('bad_settings')
--- a/asterwharf/wire/kinds.py
+++ b/asterwharf/wire/kinds.py
@@ -3,16 +3,18 @@
 from asterwharf.wire.schema import kind
 
 _NODE = {'name': 's', 'role': 's', 'addr': 's', 'zone': 's', 'http': 's', 'inc': 's'}
+# `calls`: where minions and operators call in
+_CALLED = dict(_NODE, calls='s')
 _DIR = {'k': 's', 'op': 'l', 'v': 'y'}
 _STAMP = {'op': 'l', 'view': 'l'}
 _ROUND = {'task': 's', 'round': 'l'}
 _ENTRY = {'op': 'l', 'view': 'l', 'kind': 's', 'body': 'y'}
 
 # --- meeting
-kind(1, 'hello', dict(_NODE, proto='l', token='s'))
+kind(1, 'hello', dict(_NODE, proto='l', token='s'), (4, dict(_CALLED, proto='l', token='s')))
 _ROLL = {'node': [_NODE], 'empty': 'b', 'inc': 's', 'known': 'S', 'holders': 'j'}
 # `met`: who is connected with the sender, whose word on their addresses is first hand
-kind(2, 'roll', _ROLL, (3, dict(_ROLL, met='S')))
+kind(2, 'roll', _ROLL, (3, dict(_ROLL, met='S')), (4, dict(_ROLL, met='S', node=[_CALLED])))
 kind(3, 'pulse', {'sequence': 'l'})
 kind(4, 'suspect', {'name': 's', 'by': 's', 'gone': 'b'})
 # --- replicated groups
@@ -65,6 +67,10 @@
 kind(101, 'c_node', dict(_NODE, sight='b'))
 kind(102, 'c_cell', (2, {'name': 's', 'on': 'b', 'seats': 'j'}))
 kind(103, 'c_own', (2, {'what': 's', 'was': 's', 'cell': 's'}))
+kind(104, 'c_queues', (4, {'number': 'l', 'base': 'l', 'by': 's', 'at': 'l', 'sum': 's', 'doc': 'y'}))
+kind(105, 'c_zone', (4, {'zone': 's', 'emptied': 'b', 'at': 'l'}))
+# a row: the orders of queues documents that were accepted last
+kind(106, 'r_taken', (4, {'rows': [{'sum': 's', 'number': 'l'}]}))
 # --- changes of a cell group
 kind(120, 't_submit', {'tenant': 's', 'id': 's', 'sum': 's', 'spec': 'j', 'at': 'l'})
 kind(121, 't_cancel', {'tenant': 's', 'id': 's', 'at': 'l'})
--- a/asterwharf/wire/links.py
+++ b/asterwharf/wire/links.py
@@ -1,6 +1,6 @@
 """The two sorts of connection a daemon has: one it accepted, one it dialled."""
 
-from socket import IPPROTO_TCP, TCP_NODELAY
+from socket import IPPROTO_TCP
 
 from circuits import BaseComponent, handler
 from circuits.net.events import connect
@@ -66,21 +66,41 @@
     def __init__(self, dmn, sock):
         self.setup(dmn, sock)
         self.sock = sock
-        sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
 
     def raw(self, data):
-        s = self.dmn.srv
-        if self.sock not in s._clients:
-            return
-        s.write(self.sock, data)
-        # straight to the kernel: the loop's own write would wait for another turn
-        s._on_write(self.sock)
+        self.dmn.srv.send(self.sock, data)
 
     def patience(self, ms):
         self.sock.setsockopt(IPPROTO_TCP, USER_TIMEOUT, ms)
 
     def close(self):
-        self.dmn.srv.close(self.sock)
+        self.dmn.srv.shut(self.sock)
+
+
+class Sides:
+    """Hears the listening socket for the daemon."""
+
+    __slots__ = ('dmn',)
+
+    def __init__(self, dmn):
+        self.dmn = dmn
+
+    def came(self, sock):
+        c = self.dmn.conns[sock] = Side(self.dmn, sock)
+        c.hello()
+
+    def got(self, sock, data):
+        c = self.dmn.conns.get(sock)
+        if c is not None:
+            c.read(data)
+
+    def ended(self, sock):
+        self.dmn.srv.cut(sock)
+
+    def gone(self, sock):
+        c = self.dmn.conns.get(sock)
+        if c is not None:
+            self.dmn.gone(c)
 
 
 class Leg(Link, BaseComponent):
@@ -94,7 +114,8 @@
         BaseComponent.__init__(self, channel=f'leg{Leg.nums}')
         self.setup(dmn, self)
         self.addr, self.open = addr, False
-        self.tcp = Dialer(channel=self.channel, bufsize=1 << 18).register(self)
+        self.tcp = Dialer(channel=self.channel, bufsize=1 << 16).register(self)
+        self.tcp.hears = self.read
 
     @handler('ready')
     def _on_ready(self, *args):
@@ -111,10 +132,6 @@
         self.dmn.undialled(self.addr, False)
         self.unregister()
 
-    @handler('read')
-    def _on_read(self, data):
-        self.read(data)
-
     @handler('disconnected')
     def _on_disconnected(self):
         if self.open:
--- a/asterwharf/wire/schema.py
+++ b/asterwharf/wire/schema.py
@@ -13,7 +13,7 @@
 HEAD = struct.Struct('>HB')
 KINDS, IDS = {}, {}
 # what this release speaks; a peer's is in its hello
-PROTO = 3
+PROTO = 4
 
 _PLAIN = {'s': 'string', 'l': 'long', 'd': 'double', 'y': 'bytes', 'b': 'boolean', 'j': 'string',
           'S': {'type': 'array', 'items': 'string'}}
--- /dev/null
+++ b/tests/test_queues_fleet.py
@@ -0,0 +1,313 @@
+"""The queues document and emptied zones in a whole fleet: who wins, what is read back, how they reach every node."""
+
+import json
+import os
+import subprocess
+import sys
+
+import pytest
+from test_queues import GROUP, doc, queue
+
+from asterwharf.base.settings import View
+from asterwharf.fleet.live import Live
+from asterwharf.scheduler import queues
+from asterwharf.scheduler.ferry import Ferry
+from asterwharf.sickle.ask import one
+from asterwharf.sim.fleet import Fleet
+from asterwharf.wire.schema import PROTO
+
+
+def fleet(seed=1, **kws):
+    f = Fleet(seed, minions=0, edges=2, **kws).start()
+    assert f.ready()
+    return f
+
+
+def send(f, op, at='e0', **args):
+    """An order at one node; the answers come into the list."""
+    got, h = [], f.w.hosts[at]
+
+    def act():
+        h.node.b.now, h.node.b.wall = f.w.clocks(h)
+        h.node.find(Ferry).start(op, 'core', args, lambda code, body: got.append((code, body)))
+    f.w._do(h, act)
+    return got
+
+
+def ask(f, op, at='e0', **args):
+    got = send(f, op, at, **args)
+    assert f.w.until(lambda: got, 15000, 20)
+    return got[0]
+
+
+def put(f, d, base, at='e0'):
+    return ask(f, 'queues_put', at, doc=d, base=base, by='op')
+
+
+def insist(f, op, at=('e0', 'e1'), **args):
+    """As an operator does: the same order again, at any node, until the answer is clear."""
+    for i in range(30):
+        code, body = ask(f, op, at[i % len(at)], **args)
+        if code not in ('unsure', 'no_holder'):
+            return code, body
+        f.w.run(f.w.t + 300)
+    raise AssertionError('no clear answer')
+
+
+def numbers(f):
+    return {n: f.node(n).b.atlas.number for n in f.core + f.edges if f.node(n)}
+
+
+
+def test_orders_that_are_no_orders_are_refused_and_harm_nobody():
+    f = fleet()
+    for base in (None, '0', -1, True, 1 << 70, 1.0):
+        assert put(f, doc(1), base)[0] == 'bad_field'
+    for d in (None, 3, 'x', [], {}, doc(1, queues=[queue(1, timeout_ms=0)])):
+        assert put(f, d, 0)[0] == 'bad_config'
+    for more in ({}, {'number': 2, 'set': 3}, {'number': 2, 'set': {'queues': [{}]}}, {'number': 2, 'drop': {'queues': [1]}},
+                 {'number': 2, 'set': {'limits': []}}, {'number': 2, 'set': {'queues': [queue(1), queue(1)], 'groups': [GROUP]}}):
+        assert ask(f, 'queues_change', base=0, **more)[0] == 'bad_config', more
+    for more in ({}, {'zone': 'z1'}, {'zone': 'a b', 'emptied': True}, {'zone': 'z1', 'emptied': 1}, {'zone': [], 'emptied': True}):
+        assert ask(f, 'zone_set', **more)[0] == 'bad_field'
+    assert set(numbers(f).values()) == {0} and put(f, doc(1), 0) == ('ok', {'number': 1})
+
+
+# --- who wins, what is remembered, what is read back
+def test_of_two_on_one_base_one_wins_and_a_repeat_is_answered_as_the_first_was():
+    f = fleet(2)
+    assert put(f, doc(1), 0)[0] == 'ok'
+    one, two = send(f, 'queues_put', 'e0', doc=doc(4), base=1), send(f, 'queues_put', 'e1', doc=doc(3, 5), base=1)
+    assert f.w.until(lambda: one and two, 15000)
+    assert sorted(g[0][0] for g in (one, two)) == ['ok', 'stale']
+    won, base = (doc(4), 1) if one[0][0] == 'ok' else (doc(3, 5), 1)
+    lost = doc(3, 5) if one[0][0] == 'ok' else doc(4)
+    assert ask(f, 'queues_get')[1]['doc'] == won
+    assert put(f, doc(9), won['number'])[0] == 'ok'
+    # whatever came since
+    assert put(f, won, base, 'e1') == ('ok', {'number': won['number']})
+    assert put(f, lost, base) == ('stale', {'number': 9})
+    # on another base it is another order, and its number is not above the one in force
+    assert put(f, doc(9), 9)[0] == 'bad_config' and ask(f, 'queues_get')[1]['doc'] == doc(9)
+
+
+def test_a_document_repeated_after_silence_is_taken_once():
+    for seed in range(5):
+        f = fleet(20 + seed)
+        assert put(f, doc(1), 0)[0] == 'ok'
+        got = send(f, 'queues_put', 'e0', doc=doc(7), base=1)
+        f.w.run(f.w.t + f.w.rng.randint(1, 12))
+        f.crash(f.holder('core'))
+        # the operator waits a second, then sends it again elsewhere
+        f.w.run(f.w.t + 1000)
+        assert insist(f, 'queues_put', doc=doc(7), base=1, by='op') == ('ok', {'number': 7}), seed
+        assert insist(f, 'queues_get')[1]['number'] == 7 and (not got or got[0][0] in ('ok', 'unsure'))
+
+
+def test_a_deposed_holder_refuses_nothing():
+    f = fleet(4)
+    assert put(f, doc(1), 0)[0] == 'ok'
+    old = f.holder('core')
+    f.w.part([old], [n for n in f.core + f.edges if n != old])
+    # it does not know yet that it is alone, and must not judge by what it has
+    got = send(f, 'queues_put', old, doc=doc(6), base=5)
+    assert f.w.until(lambda: f.holder('core') != old, 15000)
+    assert insist(f, 'queues_put', doc=doc(5), base=1, by='')[0] == 'ok'
+    assert f.w.until(lambda: got, 15000) and got[0][0] in ('unsure', 'no_holder'), got
+    f.w.heal()
+    assert insist(f, 'queues_put', doc=doc(6), base=5) == ('ok', {'number': 6})
+
+
+def test_a_refusal_says_nothing_of_an_earlier_sending():
+    f = fleet(5)
+    fer, got = f.node('e0').find(Ferry), []
+    for code in ('stale', 'bad_config'):
+        fer.start('queues_put', 'core', {}, lambda c, b: got.append(c))
+        t = list(fer.trips.values())[-1]
+        t.maybe = True
+        fer.on_returned('t0', {'id': t.id, 'code': code, 'body': {}, 'hint': ''})
+    assert got == ['unsure', 'unsure']
+
+
+def test_it_is_read_back_exactly_as_it_was_sent():
+    f = fleet(6)
+    odd = {'b': [1, 2.50, -0.0, 1e300, 10 ** 40, None, True, {'ü': '\ud800', 'z': {}, 'a': []}], 'a': ''}
+    d = {'more': odd, 'limits': {'more': odd, 'idle_ms': 5}, 'number': 77, 'groups': [{'more': odd, 'name': 'g'}],
+         'queues': [{'more': odd, 'prefix': '/a', 'name': 'ä', 'host': 'h', 'group': 'g', 'stretch': 2}, queue(1, group='g')]}
+    assert put(f, d, 0) == ('ok', {'number': 77})
+    code, got = ask(f, 'queues_get', 'e1')
+    assert code == 'ok' and got['number'] == 77 and got['by'] == 'op' and got['at'] > 0
+    # also the order of the fields, and the difference between 2 and 2.0
+    assert json.dumps(got['doc']) == json.dumps(d)
+    assert f.w.until(lambda: set(numbers(f).values()) == {77}, 5000)
+    assert json.dumps(f.node('e1').b.atlas.queues.doc) == json.dumps(d)
+    assert ask(f, 'queues_get', known=77) == ('no_news', {'number': 77})
+
+
+def test_a_change_is_checked_as_a_whole_and_is_idempotent():
+    f = fleet(7)
+    one = {'base': 0, 'number': 2, 'set': {'queues': [queue(0)], 'groups': [GROUP]}, 'by': 'op'}
+    assert ask(f, 'queues_change', **one) == ('ok', {'number': 2})
+    code, got = ask(f, 'queues_change', base=2, number=3, drop={'groups': ['fit']})
+    assert code == 'bad_config' and got['details'] == ["queues[0].group: no group 'fit'"]
+    assert ask(f, 'queues_change', base=2, number=2, drop={})[0] == 'bad_config'
+    two, three = ({'base': 2, 'number': n, 'set': {'queues': [queue(n)]}} for n in (4, 5))
+    a, b = send(f, 'queues_change', 'e0', **two), send(f, 'queues_change', 'e1', **three)
+    assert f.w.until(lambda: a and b, 15000) and sorted((a[0][0], b[0][0])) == ['ok', 'stale']
+    won = two if a[0][0] == 'ok' else three
+    assert ask(f, 'queues_change', base=won['number'], number=9, drop={'queues': ['q0']})[0] == 'ok'
+    assert ask(f, 'queues_change', **one) == ('ok', {'number': 2})
+    assert ask(f, 'queues_change', **won) == ('ok', {'number': won['number']})
+    assert ask(f, 'queues_get')[1]['doc'] == {'number': 9, 'queues': [queue(won['number'])], 'groups': [GROUP]}
+
+
+def test_it_survives_restarts_snapshots_and_wiped_disks():
+    f = fleet(9, view=View(keep_log=10, chunk=2000))
+    for i in range(30):
+        assert put(f, doc(i + 1, 20), i)[0] == 'ok'
+    assert ask(f, 'zone_set', zone='z2', emptied=True)[0] == 'ok'
+    assert f.chair(f.holder('core'), 'core').seat.log.rows_op > 10
+    for n in f.core:
+        f.w.kill(n)
+    for n in f.core:
+        f.w.start(n)
+    assert insist(f, 'queues_get')[1]['doc'] == doc(30, 20)
+    assert insist(f, 'queues_put', doc=doc(3, 20), base=2, by='op') == ('ok', {'number': 3})
+    for _ in range(3):
+        n = f.holder('core')
+        f.w.kill(n)
+        f.w.wipe(n)
+        f.w.start(n)
+        assert f.w.until(lambda: all(f.holder(g) and f.chair(n, g).seat.seated and not any(f.chair(x, g).seat.changing for x in f.core)
+                                     for g in ('core', 'commons')), 20000)
+    assert insist(f, 'queues_get')[1]['doc'] == doc(30, 20)
+    assert insist(f, 'queues_put', doc=doc(5, 20), base=4, by='op') == ('ok', {'number': 5})
+    assert f.w.until(lambda: set(numbers(f).values()) == {30} and all(f.node(n).b.atlas.emptied == {'z2'} for n in f.core + f.edges), 9000)
+
+
+def test_a_large_document_is_checked_in_slices():
+    sizes = list(queues.checking(doc(1, 2 * queues.SLICE + 5)))
+    assert sizes == [queues.SLICE] * 2
+    f = fleet(10, view=View(chunk=20000))
+    assert put(f, doc(1, 2000), 0)[0] == 'ok' and ask(f, 'queues_get')[1]['doc'] == doc(1, 2000)
+
+
+# --- how it reaches the nodes
+def test_news_reach_every_node_soon_and_nobody_goes_back():
+    f = fleet(11)
+    seen, back = {}, []
+
+    def look():
+        for n, num in numbers(f).items():
+            key = n, f.w.hosts[n].life
+            if num < seen.get(key, 0):
+                back.append((f.w.t, n, num, seen[key]))
+            seen[key] = num
+        f.w.after(20, look)
+    look()
+    for i in range(4):
+        assert put(f, doc(i + 1), i, f'e{i % 2}')[0] == 'ok'
+        assert f.w.until(lambda: set(numbers(f).values()) == {i + 1}, 1000), numbers(f)
+    # one edge has lost its link to the holder; the other all to the core, and has it from the first, by the digests
+    f.w.part(['e0'], f.core)
+    f.w.cut('e1', f.holder('core'))
+    assert insist(f, 'queues_put', f.core, doc=doc(9), base=4)[0] == 'ok'
+    assert f.w.until(lambda: f.node('e1').b.atlas.number == 9, 2000)
+    assert f.w.until(lambda: f.node('e0').b.atlas.number == 9, 15000)
+    f.w.heal()
+    for n in list(f.core):
+        f.crash(n)
+        f.w.run(f.w.t + 500)
+        f.w.start(n)
+        f.w.run(f.w.t + 4000)
+    assert insist(f, 'queues_put', doc=doc(12), base=9)[0] == 'ok'
+    assert f.w.until(lambda: set(numbers(f).values()) == {12}, 5000) and not back, back
+
+
+def test_an_emptied_zone_reaches_every_node_and_is_taken_back():
+    f = fleet(12)
+
+    def everywhere(*zones):
+        return f.w.until(lambda: all(f.node(n).b.atlas.emptied == set(zones) for n in f.core + f.edges), 1000)
+    for _ in range(2):
+        assert ask(f, 'zone_set', zone='z1', emptied=True) == ('ok', {'zone': 'z1', 'emptied': True})
+        assert everywhere('z1')
+    assert ask(f, 'zone_set', 'e1', zone='z3', emptied=True)[0] == 'ok' and everywhere('z1', 'z3')
+    code, got = ask(f, 'emptied')
+    assert code == 'ok' and [r['zone'] for r in got['zones']] == ['z1', 'z3'] and got['zones'][0]['since'] > 0
+    for _ in range(2):
+        assert ask(f, 'zone_set', zone='z1', emptied=False)[0] == 'ok' and everywhere('z3')
+
+
+@pytest.mark.parametrize('old', ['t0', 't1', 't2'])
+def test_nothing_is_taken_while_a_seat_could_not_read_it(old):
+    f = fleet(13, olds={old: PROTO - 1})
+    assert put(f, doc(1), 0)[0] == 'no_holder' and ask(f, 'zone_set', zone='z1', emptied=True)[0] == 'no_holder'
+    assert ask(f, 'queues_get') == ('ok', {'number': 0, 'by': '', 'at': 0, 'doc': {}})
+    f.w.kill(old)
+    f.protos[old] = PROTO
+    f.w.start(old)
+    assert insist(f, 'queues_put', doc=doc(1), base=0)[0] == 'ok' and insist(f, 'zone_set', zone='z1', emptied=True)[0] == 'ok'
+
+
+def test_an_edge_of_an_older_release_serves_on_beside_it():
+    f = fleet(14, olds={'e1': PROTO - 1})
+    assert put(f, doc(1), 0, 'e1')[0] == 'ok' and ask(f, 'queues_get', 'e1')[1]['doc'] == doc(1)
+
+
+# --- the own interface, against real processes
+@pytest.fixture(scope='module')
+def live(tmp_path_factory):
+    f = Live(tmp_path_factory.mktemp('queues'), 'small', edges=1, minions=0).up()
+    try:
+        assert f.until(lambda: f.status('e0')['fit'])
+        yield f
+    finally:
+        f.down()
+
+
+@pytest.fixture
+def sickle(live):
+    def run(*args, doc=None, rc=0):
+        got = subprocess.run([sys.executable, '-m', 'asterwharf.sickle.main', *args], capture_output=True, text=True, timeout=60,
+                             env=dict(os.environ, ASTERWHARF_AT=live.http['e0'], USER='op'), input=doc and json.dumps(doc))
+        assert got.returncode == rc and 'Traceback' not in got.stderr, (got.returncode, got.stdout, got.stderr)
+        return got.stdout + got.stderr
+    return run
+
+
+def test_operators_change_queues_and_zones_by_the_command_line(live, sickle):
+    assert 'number 0 by -' in sickle('queues', 'get')
+    assert 'number 3 is in force' in sickle('queues', 'put', '-', doc=doc(3))
+    assert '303 stale' in sickle('queues', 'put', '-', '--base', '2', doc=doc(9), rc=3)
+    assert 'number 3' in sickle('queues', 'put', '-', '--base', '0', doc=doc(3))
+    assert 'queues[0].tries' in sickle('queues', 'put', '-', doc=doc(9, queues=[queue(1, tries=0)]), rc=2)
+    assert 'number 4 ' in sickle('queues', 'change', '-', doc={'set': {'queues': [queue(7)]}, 'drop': {'queues': ['q0']}})
+    assert '200 bad_json' in sickle('queues', 'change', '-', doc=[1], rc=2)
+    got = json.JSONDecoder().raw_decode(sickle('queues', 'get', '--json'))[0]
+    assert got['by'] == 'op' and got['doc'] == doc(4, queues=[queue(1), queue(2), queue(7)])
+    rows = sickle('queues', 'list').splitlines()
+    assert rows[0].split()[:4] == ['name', 'host', 'prefix', 'group'] and [r.split()[0] for r in rows[1:]] == ['q1', 'q2', 'q7']
+    assert [r['name'] for r in json.loads(sickle('queues', 'list', '--json'))['queues']] == ['q1', 'q2', 'q7']
+    assert 'z2 is evacuated' in sickle('zone', 'evacuate', 'z2') and 'z2  ' in sickle('zone', 'evacuated')
+    assert '201 bad_field' in sickle('zone', 'evacuate', 'a b', rc=2)
+    assert 'z2 is readmitted' in sickle('zone', 'readmit', 'z2') and json.loads(sickle('zone', 'evacuated', '--json')) == {'zones': []}
+    assert live.until(lambda: all(live.status(n)['queues'] == 4 for n in live.core + live.edges))
+
+
+def test_the_door_refuses_with_numbers(live):
+    def told(method, path, body=None, **heads):
+        sts, got = one(live.http['e0'], method, path, body, {k.replace('_', '-'): v for k, v in heads.items()})
+        return sts, got.get('code')
+    now = one(live.http['e0'], 'GET', '/v1/queues')[1]['number']
+    nest = {}
+    for _ in range(900):
+        nest = {'a': nest}
+    assert told('PUT', '/v1/queues', doc(99)) == (428, 209) and told('PUT', '/v1/queues', doc(99), If_Match='x') == (400, 201)
+    assert told('PUT', '/v1/queues', doc(99), If_Match=f'"{now + 1}"') == (412, 303)
+    assert told('PUT', '/v1/queues', doc(99, more=nest), If_Match=f'"{now}"') == (400, 208)
+    assert told('PATCH', '/v1/queues', {'number': 99, 'set': {'queues': [nest]}}, If_Match=f'"{now}"') == (400, 208)
+    assert told('PATCH', '/v1/queues', {'number': 99, 'put': {}}, If_Match=f'"{now}"') == (400, 201)
+    assert told('DELETE', '/v1/queues') == (405, 204) and told('PUT', '/v1/zones/a%20b/emptied') == (400, 201)
+    assert told('GET', '/v1/queues', If_None_Match=f'"{now}"') == (304, None)
+    assert one(live.http['e0'], 'GET', '/v1/queues')[1]['number'] == now
