Let the log prove which protocol the seats read; take a lost seat after five bounds

Cause: after a restart a seat that was lost for good counts as of the first release, so no change of the newer kinds could be ordered: a holder stood and every request got 503 (RECOVER, both sites). The replaced machine's successor waited 30 bounds for the seat. Ruled out: seeds, dialling, the seat table, the change of view (logs: holder elected in 0.8 s). Test: tests/test_seats.py (both; the first fails without the proof). Conclusion: what was ordered once in newer words could be read by every seat then.

--- a/asterwharf/sim/yard_clients.py
+++ b/asterwharf/sim/yard_clients.py
@@ -11,7 +11,9 @@
 ASK, SOON = (2500, 4500), (80, 300)
 # a ferry is told to be done a moment before the client gives up
 MARGIN = 60
-TAKEN, NEVER = ('taken', 'same', 'ok'), ('no_holder', 'overload', 'tenant_full', 'no_queue', 'no_config')
+# what an edge says by itself: a path that no queue has, no configuration yet
+NO_QUEUE, NO_CONFIG = 'no_queue', 'no_config'
+TAKEN, NEVER = ('taken', 'same', 'ok'), ('no_holder', 'overload', 'tenant_full', NO_QUEUE, NO_CONFIG)
 
 
 def draw(rng, mean, spread, most):
@@ -106,10 +108,10 @@
             box[0] = h.life
             ats = getattr(node.b.atlas, 'queues', None)
             if ats is None:
-                return give('no_config')
+                return give(NO_CONFIG)
             got = ats.find('jobs.example', path)
             if got is None:
-                return give('no_queue')
+                return give(NO_QUEUE)
             q = got[0]
             if op == 'y_submit':
                 qs = {k: getattr(q, k) for k in ('name', 'group', 'priority', 'tries', 'stretch', 'aim_ms')}
@@ -123,8 +125,8 @@
             if code in (SILENT, BROKEN, CLOSED):
                 return then(edge, 0, '', asked, code, body)
             lvl = f.sight.level(edge)
-            if code != 'no_config':
-                f.obs.versions.handled(edge, box[0], lvl, asked, '/' + path.split('/')[1] + '/', code != 'no_queue')
+            if code != NO_CONFIG:
+                f.obs.versions.handled(edge, box[0], lvl, asked, '/' + path.split('/')[1] + '/', code != NO_QUEUE)
             return then(edge, box[0], lvl, asked, code, body)
         f.net.call(f'c-{zone}', edge, act, got, wait)
 
@@ -154,7 +156,7 @@
                 if tries and self.w.rng.random() < 0.03:
                     self.w.after(self.w.rng.randint(1, 2000), self.hand, job, zone, 0)
                 return
-            if tries and code != 'no_queue':
+            if tries and code != NO_QUEUE:
                 wait = (body or {}).get('retry_ms') if isinstance(body, dict) and code in NEVER else None
                 self.w.after(wait if wait is not None else pause, self.hand, job, zone, tries - 1, edge, pause * 2)
         edge = f.door(zone, last)
--- a/asterwharf/sim/yard_days.py
+++ b/asterwharf/sim/yard_days.py
@@ -3,6 +3,7 @@
 A day is judged by the observer's rules; each prints one line with its verdict and its figures.
 """
 
+import multiprocessing
 import random
 import sys
 import time
@@ -209,19 +210,31 @@
     return Day(site, seed, **more).play(faults, closing)
 
 
+def _one(args):
+    site, seed, faults, closing, load, length, trace = args
+    d = play(site, seed, faults, closing, load=load, length=length)
+    return d.text() + ('\n' + d.fleet.trace(trace) if trace else ''), sorted({r for _, r, _ in d.broken} | ({'FAULT'} if d.fault else set()))
+
+
 @app.default
-def main(*, days: int = 20, seed: int = 1, site: str = '', load: float = 1.0, faults: str = '', closing: str = '', trace: int = 0):
-    """Plays days; exit code 1 where a rule was broken."""
-    bad = 0
-    for i in range(days):
-        name = site or sorted(ALL)[i % len(ALL)]
-        list_ = None if not faults else [k for k in faults.split(',') if k != 'none']
-        d = play(name, seed + i, list_, closing or None, load=load)
-        print(d.text(), flush=True)
-        if trace:
-            print(d.fleet.trace(trace))
-        bad += not d.ok
-    print(f'{days} days, {bad} with a broken rule')
+def main(*, days: int = 20, seed: int = 1, site: str = '', load: float = 1.0, length: int = LENGTH, faults: str = '', closing: str = '',
+         trace: int = 0, workers: int = 1):
+    """Plays days, both sites in turn unless one is named; exit code 1 where a rule was broken.
+
+    `faults` names kinds of trouble instead of drawing them, by commas, each perhaps with @ms; `none` for a calm day.
+    """
+    names = sorted(ALL)
+    list_ = None
+    if faults:
+        list_ = [(int(k.split('@')[1]), k.split('@')[0]) if '@' in k else k for k in faults.split(',') if k != 'none']
+    jobs = [(site or names[i % len(names)], seed + i, list_, closing or None, load, length, trace) for i in range(days)]
+    bad, rules = 0, Counter()
+    with multiprocessing.Pool(workers, maxtasksperchild=8) as pool:
+        for text, broken in pool.imap(_one, jobs):
+            print(text, flush=True)
+            bad += bool(broken)
+            rules.update(broken)
+    print(f'{days} days, {bad} with a broken rule', dict(rules))
     sys.exit(1 if bad else 0)
 
 
--- a/asterwharf/sim/yard_minion.py
+++ b/asterwharf/sim/yard_minion.py
@@ -114,6 +114,8 @@
         self._plan(SOON if self.n > self.last else ms if ms is not None else every + self.w.rng.randint(-every // 20, every // 20))
 
     def _failed(self, code):
+        # whichever node it was, the next one is another
+        self.node = self.fleet.at(self.addr) if self.addr else self.node
         self.addr, self.fails = '', self.fails + 1
         self._plan(min(1000, PAUSE << min(self.fails - 1, PAUSES)) if code != CLOSED or self.fails > 1 else SOON)
 
--- a/asterwharf/view/chair.py
+++ b/asterwharf/view/chair.py
@@ -46,8 +46,11 @@
 
     @property
     def floor(self):
-        """The oldest protocol among the seats, as far as each was ever heard."""
-        return min(self.protos.get(s, 1) for s in self.seat.log.seats or [self.b.me])
+        """The oldest protocol among the seats, as far as each was ever heard.
+
+        A seat that was lost for good is never heard again after a restart; what the log shows it could read, it could.
+        """
+        return max(self.seat.proved, min(self.protos.get(s, 1) for s in self.seat.log.seats or [self.b.me]))
 
     def order(self, knd, doc, then=None):
         """Orders a change; `then` gets (op, result), or None when its fate is not known."""
--- a/asterwharf/view/rows.py
+++ b/asterwharf/view/rows.py
@@ -47,6 +47,7 @@
     def _install(self, m):
         self.rows = {r['k']: r['v'] for p in self.parts for r in p}
         self.parts = []
+        self._prove_rows()
         self.mac.load(self.rows)
         self.log = Log(m['op'], m['stamp'], m['op'], m['stamp'], m['seats'])
         self.upto = m['op']
--- a/asterwharf/view/seat.py
+++ b/asterwharf/view/seat.py
@@ -9,6 +9,7 @@
 from asterwharf.view.log import Desk, Entry, Log
 from asterwharf.view.rows import Rows
 from asterwharf.view.tenure import Tenure
+from asterwharf.wire.schema import since
 
 LEARNER, SIBLING, SOUNDING, CANVASS, HOLDER = 'learner', 'sibling', 'sounding', 'canvass', 'holder'
 
@@ -26,7 +27,7 @@
     """Takes messages, ticks and sync notices; leaves messages, batches and deliveries."""
 
     __slots__ = ('asked', 'cfg', 'count', 'desk', 'due', 'grp', 'heard', 'holder', 'inc', 'log', 'mac', 'name', 'now',
-                 'parts', 'peers', 'rng', 'rows', 'since', 'state', 'ten', 'upto', 'view', 'vote', 'votes', 'waits',
+                 'parts', 'peers', 'proved', 'rng', 'rows', 'since', 'state', 'ten', 'upto', 'view', 'vote', 'votes', 'waits',
                  'done', 'news', 'lag', 'sure', 'wall')
 
     def __init__(self, grp, name, inc, cfg, rng, mac, saved, now):
@@ -34,6 +35,8 @@
         self.view, self.vote, self.upto, self.holder, self.ten = 0, '', 0, '', None
         self.log, self.rows, self.votes, self.waits, self.sure = Log(), {}, set(), {}, 0
         self.peers, self.parts, self.done, self.news, self.asked = set(), [], [], [], 0
+        # what was ordered once in a protocol's words, every seat could read
+        self.proved = 0
         self.state, self.since, self.heard, self.due, self.lag, self.wall = LEARNER, now, now, 0, 0, now
         self.count = {'views': 0, 'syncs': 0, 'sent': 0, 'handed': 0, 'trimmed': 0}
         if saved['meta']:
@@ -51,6 +54,8 @@
             e = Entry.read(raw)
             if e.op > self.log.cut_op:
                 self.log.add(e, kept=True)
+                self._prove(e)
+        self._prove_rows()
         # what was delivered is known only from the rows; the rest waits for a holder
         self.upto = self.log.rows_op
         if self.seated:
@@ -114,8 +119,16 @@
         self.desk.page().meta = {'view': self.view, 'vote': self.vote, 'cut': [g.cut_op, g.cut_view],
                                  'rows': [g.rows_op, g.rows_view], 'seats': g.tabs[0].seats, 'sure': self.sure}
 
+    def _prove(self, ent):
+        if ent.kind == 'change':
+            self.proved = max(self.proved, since(ent.body))
+
+    def _prove_rows(self):
+        self.proved = max([self.proved, *(since(r) for r in self.rows.values())])
+
     def _add(self, ent):
         self.log.add(ent)
+        self._prove(ent)
         self.desk.page().log.append((ent.op, ent.raw()))
 
     def _trim(self, op):
--- a/asterwharf/view/tenure.py
+++ b/asterwharf/view/tenure.py
@@ -273,9 +273,10 @@
 
     def _lost(self):
         s = self.seat
-        far = s.cfg.silence_ms * 30
+        far = s.cfg.silence_ms * s.cfg.lost_ratio
         old = [n for n in s.others() if n not in self.ways or s.now - self.ways[n].heard > far]
-        return old[0] if old else ''
+        # who was not heard for longest: another may only be on its way back
+        return min(old, key=lambda n: (self.ways[n].heard if n in self.ways else -1, n)) if old else ''
 
     def _sync_ways(self):
         s = self.seat
--- a/asterwharf/wire/schema.py
+++ b/asterwharf/wire/schema.py
@@ -109,6 +109,13 @@
     return KINDS[nam].known(proto)
 
 
+def since(raw):
+    """The first protocol that can read this record; 0 where its kind is not known here."""
+    kid, seq = HEAD.unpack_from(raw)
+    k = IDS.get(kid)
+    return k.since[seq - 1] if k is not None and seq in k.all else 0
+
+
 def unpack(raw, proto=PROTO):
     """(kind's name, document) or Alien; an older `proto` plays an earlier release."""
     if len(raw) < HEAD.size:
--- a/tests/test_queues_fleet.py
+++ b/tests/test_queues_fleet.py
@@ -73,6 +73,58 @@
     assert set(numbers(f).values()) == {0} and put(f, doc(1), 0) == ('ok', {'number': 1})
 
 
+def watched(f):
+    """Every time a process went back to an older document within its life; and which documents were in force."""
+    seen, back, docs = {}, [], {}
+
+    def look():
+        for n, num in numbers(f).items():
+            key = n, f.w.hosts[n].life
+            if num < seen.get(key, 0):
+                back.append((f.w.t, n, num, seen[key]))
+            if num and seen.get(key) != num:
+                docs.setdefault(num, set()).add(json.dumps(f.node(n).b.atlas.queues.doc))
+            seen[key] = num
+        f.w.after(20, look)
+    look()
+    return back, docs
+
+
+class Operator:
+    """Sends documents and changes on top of the newest it knows, each again unchanged until the answer is clear."""
+
+    def __init__(self, f, name, told):
+        self.f, self.name, self.told, self.n, self.on = f, name, told, 0, True
+
+    def begin(self, base):
+        if not self.on:
+            return None
+        self.n += 1
+        num, mark = base + self.f.w.rng.randint(1, 5), f'{self.name}{self.n}'
+        if self.f.w.rng.random() < 0.5 and base:
+            args = {'number': num, 'set': {'queues': [queue(99, kind=mark)]}, 'drop': {'queues': ['q0']}}
+            return self.send('queues_change', args, base, num, mark)
+        return self.send('queues_put', {'doc': doc(num, 2, queues=[queue(99, kind=mark)])}, base, num, mark)
+
+    def send(self, op, args, base, num, mark):
+        def then(code, body):
+            if code in (None, 'unsure', 'no_holder'):
+                return self.f.w.after(300, self.send, op, args, base, num, mark)
+            self.told.append((code, base, num, mark))
+            top = max([n for c, _, n, _ in self.told if c == 'ok'] + [body['number'] if code == 'stale' else 0])
+            self.f.w.after(self.f.w.rng.randint(100, 1500), self.begin, top)
+        self.f.call._call(op, 'core', dict(args, base=base, by=self.name), then)
+        if self.f.w.rng.random() < 0.3:
+            self.f.w.after(self.f.w.rng.randint(4, 16), self.strike)
+
+    def strike(self):
+        """The holder dies while the order is under way."""
+        n = self.f.holder('core')
+        if n and all(self.f.w.hosts[x].alive for x in self.f.core):
+            self.f.w.kill(n)
+            self.f.w.after(1000, lambda: self.f.w.hosts[n].alive or self.f.w.start(n))
+
+
 # --- who wins, what is remembered, what is read back
 def test_of_two_on_one_base_one_wins_and_a_repeat_is_answered_as_the_first_was():
     f = fleet(2)
@@ -195,16 +247,7 @@
 # --- how it reaches the nodes
 def test_news_reach_every_node_soon_and_nobody_goes_back():
     f = fleet(11)
-    seen, back = {}, []
-
-    def look():
-        for n, num in numbers(f).items():
-            key = n, f.w.hosts[n].life
-            if num < seen.get(key, 0):
-                back.append((f.w.t, n, num, seen[key]))
-            seen[key] = num
-        f.w.after(20, look)
-    look()
+    back, _ = watched(f)
     for i in range(4):
         assert put(f, doc(i + 1), i, f'e{i % 2}')[0] == 'ok'
         assert f.w.until(lambda: set(numbers(f).values()) == {i + 1}, 1000), numbers(f)
@@ -224,6 +267,46 @@
     assert f.w.until(lambda: set(numbers(f).values()) == {12}, 5000) and not back, back
 
 
+@pytest.mark.parametrize('seed', range(4))
+def test_two_operators_among_faults_lose_and_double_nothing(seed):
+    f, told = fleet(40 + seed), []
+    (back, docs), rng = watched(f), f.w.rng
+    ops = [Operator(f, n, told) for n in ('a', 'b')]
+    for o in ops:
+        o.begin(0)
+    for _ in range(12):
+        f.w.run(f.w.t + rng.randint(500, 2500))
+        n, how = rng.choice([*f.core, f.holder('core') or f.core[0]]), rng.choice(('kill', 'cut', 'freeze', 'power'))
+        if how == 'cut':
+            f.w.part([n], [x for x in f.core + f.edges if x != n])
+        elif how == 'freeze':
+            f.w.freeze(n)
+        else:
+            for x in [n] if how == 'kill' else f.core:
+                f.w.kill(x)
+        f.w.run(f.w.t + rng.randint(100, 4000))
+        f.w.heal()
+        for x in f.core:
+            f.w.thaw(x)
+            if not f.w.hosts[x].alive:
+                f.w.start(x)
+    f.w.run(f.w.t + 8000)
+    ok = {m: (b, n) for c, b, n, m in told if c == 'ok'}
+    assert len(ok) > 8 and len({b for b, _ in ok.values()}) == len(ok), 'two were accepted on one base'
+    assert {c for c, *_ in told} <= {'ok', 'stale'} and not back, back
+    assert all(len(d) == 1 for d in docs.values())
+    seen = {json.loads(d)['queues'][-1]['kind'] for (d,) in docs.values()}
+    assert not seen & {m for c, _, _, m in told if c != 'ok'}, 'a refused one was in force'
+    # then they stop, and what is read back is the newest accepted one, whole
+    for o in ops:
+        o.on = False
+    f.w.run(f.w.t + 8000)
+    got = insist(f, 'queues_get')[1]
+    mark, num = got['doc']['queues'][-1]['kind'], got['number']
+    last = max(((c, n, m) for c, _, n, m in told if c == 'ok'), key=lambda r: r[1])
+    assert (num, mark) == last[1:] and got['doc']['number'] == num and set(numbers(f).values()) == {num}
+
+
 def test_an_emptied_zone_reaches_every_node_and_is_taken_back():
     f = fleet(12)
 
--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -150,3 +150,36 @@
     # nobody was told the new addresses by any settings file; and what is started now asks what is left of them
     assert all(set(f.core) <= set(f.node(e).b.links) for e in f.edges)
     assert len(f.obs.kept) == 160
+
+
+def test_after_a_loss_for_good_and_a_restart_of_the_rest_the_group_still_orders_in_its_newest_words():
+    # found on the platform: a seat never heard since the restart counted as of the first release
+    s = Site()
+    f = s.f
+    f.call.submit('basin', 'before', JOB)
+    assert f.w.until(lambda: f.obs.count['done'], 20000)
+    f.w.kill(s.old)
+    # every change so far in the log or the rows, none of it heard from the lost seat again
+    rest = [n for n in f.core if n != s.old]
+    for n in rest:
+        f.w.kill(n)
+    for n in rest:
+        f.w.start(n)
+    f.core = rest
+    assert f.w.until(lambda: f.holder('commons'), 20000)
+    cha = f.chair(f.holder('commons'), 'commons')
+    assert s.old in cha.seat.log.seats and cha.protos.get(s.old) is None
+    assert cha.floor == cha.seat.proved > 1
+
+
+def test_a_newcomer_takes_the_seat_that_was_silent_for_long():
+    s = Site()
+    f = s.f
+    for n in f.core:
+        for g in ('core', 'commons'):
+            f.chair(n, g).seat.cfg = type(VIEW)(keep_log=150, chunk=20000, lost_ratio=5.0)
+    f.w.kill(s.old)
+    f.w.run(f.w.t + 1500)
+    s.start('t9')
+    # no word of an operator: five bounds of silence are enough
+    assert f.w.until(lambda: all('t9' in s.seats(g) and s.old not in s.seats(g) for g in ('core', 'commons')), 9000)
