Keep room for gangs, wait for a rack within bounds, judge minions by progress, move what crawls

Cause: a task whose near rack or gang's rack was busy could wait for its estimate (15 s and more); a task shunned by its only minion was never placed; nothing moved work off slow, still or leaving minions; a seat that had heard no holder since its start waited a whole bound. Ruled out: room itself (less than half in use), labels.

--- a/asterwharf/base/settings.py
+++ b/asterwharf/base/settings.py
@@ -42,6 +42,8 @@
     beat_ratio: float = 0.12
     spread_ratio: float = 0.5
     slow_sync_ratio: float = 0.5
+    # the wait of a seat that has heard no holder since it started
+    first_ratio: float = 0.4
     # silence after which a newcomer takes the seat of one that is lost
     lost_ratio: float = 30.0
     keep_log: int = 2000
--- a/asterwharf/door/lean.py
+++ b/asterwharf/door/lean.py
@@ -14,7 +14,6 @@
 from http import HTTPStatus
 
 from circuits import BaseComponent
-from circuits.web.parsers import HttpParser
 
 from asterwharf.base import logs
 from asterwharf.clock.boot import boot_ms
@@ -187,41 +186,41 @@
         return body
 
     def _unchunk(self, ln):
-        raw, most = ln.rest, self.app.max_body
+        raw, at, most = ln.rest, 0, self.app.max_body
         while True:
-            i = raw.find(b'\r\n')
+            i = raw.find(b'\r\n', at)
             if i < 0:
-                if len(raw) > self.app.max_head:
+                if len(raw) - at > self.app.max_head:
                     raise Bad('bad_http', 'chunk')
-                ln.rest = raw
-                return None
-            m = CHUNK.match(raw[:i])
+                break
+            m = CHUNK.match(raw[at:i])
             if not m:
                 raise Bad('bad_http', 'chunk')
             n = int(m[1], 16)
             if not n:
-                return self._trailer(ln, raw, i)
+                if self._trailer(ln, raw, at, i):
+                    return b''.join(ln.chunks)
+                break
             if ln.need + n > most:
                 raise Bad('too_large', f'at most {most} bytes')
-            if len(raw) < i + 4 + n:
-                ln.rest = raw
-                return None
-            if raw[i + 2 + n:i + 4 + n] != b'\r\n':
+            end = i + 2 + n
+            if len(raw) < end + 2:
+                break
+            if raw[end:end + 2] != b'\r\n':
                 raise Bad('bad_http', 'chunk')
-            ln.chunks.append(raw[i + 2:i + 2 + n])
-            ln.need += n
-            raw = raw[i + 4 + n:]
+            ln.chunks.append(raw[i + 2:end])
+            ln.need, at = ln.need + n, end + 2
+        ln.rest = raw[at:]
+        return None
 
-    def _trailer(self, ln, raw, i):
-        # the last chunk, then fields that nobody wants, then an empty line
+    def _trailer(self, ln, raw, at, i):
+        """After the last chunk come fields that nobody wants, then an empty line: whether it is there."""
         j = i if raw[i:i + 4] == b'\r\n\r\n' else raw.find(b'\r\n\r\n', i)
-        if j < 0:
-            if len(raw) > i + self.app.max_head:
-                raise Bad('bad_http', 'trailer')
-            ln.rest = raw
-            return None
-        ln.rest = raw[j + 4:]
-        return b''.join(ln.chunks)
+        if j >= 0:
+            ln.rest = raw[j + 4:]
+        elif len(raw) - at > self.app.max_head:
+            raise Bad('bad_http', 'trailer')
+        return j >= 0
 
     # --- answers
     def _give(self, ln, turn, keep, bare, status, raw, heads=None):
@@ -292,8 +291,8 @@
 
     @property
     def callers(self):
-        """Connections that still stand, idle ones too."""
-        return sum(not ln.over for ln in self.lines.values())
+        """Connections that still stand, idle ones too, and those on which an answer is still going out."""
+        return sum(not ln.over or ln.sock in self.server._buffers for ln in self.lines.values())
 
     def deafen(self):
         """Takes the connections that wait, then no more."""
@@ -336,6 +335,8 @@
 
 def parsed(raw):
     """The same of any other header, by the library's parser."""
+    # its package is a tenth of a program's memory, and most programs never meet such a header
+    from circuits.web.parsers import HttpParser
     p = HttpParser(0, False)
     raw += b'\r\n\r\n'
     try:
--- /dev/null
+++ b/asterwharf/orchard/mover.py
@@ -0,0 +1,144 @@
+"""Stops runs that would do better elsewhere, or that stand in the way of more urgent work. Pure.
+
+A stop is delivered like any change; the run's end, told by its minion, frees the room and brings its checkpoint.
+"""
+
+from asterwharf.base.board import Controller
+
+# of the silence bound: how often it looks, and how long urgent work waits until lesser work is pushed out
+LOOK, PUSH = 0.2, 0.4
+# stops on their way for urgent work, at most
+PUSHES = 12
+# a run is moved where it would take so many times longer to let it be
+GAIN = 1.5
+
+
+class Mover(Controller):
+    """At the holder of the cell."""
+
+    __slots__ = ('cell', 'due', 'health', 'placer', 'tender')
+
+    def __init__(self, b, cell, tender, health, placer):
+        super().__init__(b)
+        self.cell, self.tender, self.health, self.placer, self.due = cell, tender, health, placer, 0
+
+    @property
+    def mac(self):
+        return self.cell.mac
+
+    def tick(self):
+        b = self.b
+        if self.tender.term < 0 or not self.cell.takes or b.now < self.due:
+            return
+        self.due = b.now + int(b.set.view.silence_ms * LOOK)
+        stops = {}
+        for mid, l in self.tender.links.items():
+            if l.prog:
+                (self._leave if l.drain else self._judge)(l, stops)
+        self._push(stops)
+        if stops:
+            self.cell.order('y_stop', {'at': self.cell.wall, 'items': [{'task': k, 'run': r} for k, r in stops.items()]})
+
+    def _stop(self, t, stops, why):
+        """A gang goes as one: its other members would only wait."""
+        if t.key in stops:
+            return
+        for o in t.step.tasks if t.step.together else (t,):
+            if o.mid and not o.stop:
+                stops[o.key] = o.run
+        self.b.count[f'moved.{why}'] += 1
+        self.b.log('info', 'moved', task=t.key, minion=t.mid, why=why)
+
+    def _mine(self, l):
+        """The runs that a minion has in hand and that are not being stopped: (task, progress)."""
+        mac = self.mac
+        for k, t in mac.on.get(l.mid, {}).items():
+            p = l.prog.get(k)
+            if p is not None and not t.stop and t.mid == l.mid and p[4] == t.run and not t.step.job.fate:
+                yield t, p
+
+    def _leave(self, l, stops):
+        """What can't end before the minion is gone goes now, with its checkpoint."""
+        b = self.b
+        gone = l.leaves or l.drain + b.set.call.drain_ms
+        for t, p in self._mine(l):
+            left = self.health.left(p)
+            if left is None:
+                left = max(0, t.step.estimate * (100 - p[3]) / 100)
+            if t.step.lasts or left > gone - b.now - b.set.call.stop_grace_ms:
+                self._stop(t, stops, 'leaving')
+
+    def _judge(self, l, stops):
+        """Runs that stand still or crawl."""
+        h, bad = self.health, 0
+        for t, p in self._mine(l):
+            if h.still(t.step, p, l):
+                # a gang stands still as one: which member holds it up, only other runs tell
+                if not t.step.together:
+                    bad += 1
+                    h.where.setdefault(t.key, set()).add(l.mid)
+                self._stop(t, stops, 'still')
+                continue
+            fair = h.crawls(t, p)
+            if fair is None:
+                continue
+            bad += not t.step.together
+            left, todo = h.left(p), fair * ((100 - p[3]) / 100 if t.step.saves else 1)
+            if left is not None and left > (todo + self.b.set.call.restore_ms + self.b.set.call.stop_grace_ms) * GAIN:
+                h.where.setdefault(t.key, set()).add(l.mid)
+                self._stop(t, stops, 'crawling')
+        if bad:
+            h.suspect(l.mid, 'its runs crawl or stand still')
+
+    # --- urgent work
+    def _push(self, stops):
+        """Lesser work makes room for urgent work that has waited."""
+        mac, b = self.mac, self.b
+        wait, n, done = b.set.view.silence_ms * PUSH, 0, set()
+        going = sum(t.stop for box in mac.on.values() for t in box.values() if not t.step.job.fate)
+        for s in sorted(mac.ready.values(), key=lambda s: (s.job.prio, s.job.at, s.job.id, s.n)):
+            key = (s.job.group, s.job.prio, s.need, s.label)
+            if s.together or s.lasts or key in done or going + n >= PUSHES or self.placer.waited(s) < wait:
+                continue
+            done.add(key)
+            # as many minions as it has tasks left over, less what is being freed already
+            for _ in range(max(0, min(s.ready, PUSHES - going - n))):
+                got = self._victims(s, stops)
+                if got is None:
+                    break
+                for t in got:
+                    self._stop(t, stops, 'pushed')
+                n += len(got)
+
+    def _victims(self, s, stops):
+        """The cheapest runs of lesser work whose end makes room for a task of this step on one minion."""
+        best = None
+        for mid, l in self.tender.links.items():
+            if l.group != s.job.group or not self.tender.open(l) or (s.label and s.label not in l.labels):
+                continue
+            used = self.mac.used.get(mid, (0, 0, 0))
+            free = [r - u for r, u in zip(l.room, used)]
+            if any(d > r for d, r in zip(s.need, l.room)):
+                continue
+            # what is being stopped there will make room by itself
+            if any(k in stops or t.stop for k, t in self.mac.on.get(mid, {}).items()):
+                continue
+            got, cost = [], 0.0
+            mine = [(self._cost(t, p), t.key, t) for t, p in self._mine(l) if t.step.job.prio > s.job.prio and not t.step.together]
+            for c, _, t in sorted(mine, key=lambda r: r[:2]):
+                if all(f >= d for f, d in zip(free, s.need)):
+                    break
+                got.append(t)
+                cost += c
+                free = [f + d for f, d in zip(free, t.step.need)]
+            if got and all(f >= d for f, d in zip(free, s.need)) and (best is None or (cost, mid) < best[:2]):
+                best = cost, mid, got
+        return best[2] if best else None
+
+    def _cost(self, t, p):
+        """Core milliseconds lost, about; what is saved is not lost."""
+        ms = self.b.now - p[0]
+        if t.step.saves:
+            ms = min(ms, self.b.set.call.checkpoint_ms / 2)
+        c, _, g = t.step.need
+        return ms * (c / 1000 + g * 8)
--- a/asterwharf/orchard/node.py
+++ b/asterwharf/orchard/node.py
@@ -4,6 +4,7 @@
 from asterwharf.mend.mender import Mender
 from asterwharf.orchard.gate import Gate
 from asterwharf.orchard.health import Health
+from asterwharf.orchard.mover import Mover
 from asterwharf.orchard.placer import Placer
 from asterwharf.orchard.tender import Tender
 from asterwharf.orchard.yard import Yard
@@ -28,7 +29,7 @@
         hlt = Health(b, self.chair, self.tender)
         self.placer = Placer(b, self.chair, self.tender, hlt)
         # ends are learned from before places are given, places are given before beats are answered
-        self.all = self.chair, hlt, self.placer, self.tender
+        self.all = self.chair, hlt, self.placer, self.tender, Mover(b, self.chair, self.tender, hlt, self.placer)
 
 
 def control(st, inc, rng, load, now, wall, proto=PROTO):
--- /dev/null
+++ b/asterwharf/orchard/rooms.py
@@ -0,0 +1,151 @@
+"""The room that minions have while a decision is made, and which of it a step may take. Pure."""
+
+# of the bound on a new configuration's effect in a cell, the longest that work waits for the rack that suits it, ms
+PATIENCE = 3.0
+# of the silence bound: how long a step that needs much room at once has waited until room is kept for it
+KEEP = 0.5
+
+
+class Room:
+    """One minion's room."""
+
+    __slots__ = ('cpu', 'gpus', 'grade', 'kept', 'labels', 'mem', 'mid', 'rack', 'ready')
+
+    def __init__(self, l, used):
+        self.mid, self.rack, self.labels, self.ready, self.grade, self.kept = l.mid, l.rack, l.labels, l.give is not None, 0.0, False
+        c, m, g = l.room
+        self.cpu, self.mem, self.gpus = (c - used[0], m - used[1], g - used[2]) if used else (c, m, g)
+
+    def fits(self, need):
+        return not self.kept and need[0] <= self.cpu and need[1] <= self.mem and need[2] <= self.gpus
+
+    def take(self, need):
+        self.cpu, self.mem, self.gpus = self.cpu - need[0], self.mem - need[1], self.gpus - need[2]
+
+    def times(self, need, most):
+        """How many of `need` fit."""
+        if self.kept:
+            return 0
+        return max(0, min([most] + [int(f // d) for f, d in zip((self.cpu, self.mem, self.gpus), need) if d]))
+
+
+class Rooms:
+    """All of them, by group."""
+
+    __slots__ = ('b', 'by', 'kept', 'p', 'racks')
+
+    def __init__(self, placer):
+        self.p, self.b, self.by, self.racks, self.kept = placer, placer.b, {}, {}, {}
+        mac, t, hlt, empty = placer.mac, placer.tender, placer.health, placer.b.atlas.emptied
+        for mid, l in t.links.items():
+            if not t.open(l) or l.zone in empty or not hlt.trusted(l):
+                continue
+            r = Room(l, mac.used.get(mid))
+            # what it holds that is no run of ours any more takes its room until it has ended
+            for k, _ in t.strays(l):
+                r.take(mac.need(k) or l.room)
+            r.grade = hlt.grade(l)
+            self.by.setdefault(l.group, []).append(r)
+            self.racks.setdefault((l.group, l.rack), []).append((l.room, l.labels))
+
+    @property
+    def patience(self):
+        return self.b.set.view.silence_ms * PATIENCE
+
+    def _worth(self, s):
+        """How long it may pay to wait for the rack that suits: going elsewhere takes so much longer."""
+        return min(self.patience, s.estimate * (self.b.set.call.far_factor - 1))
+
+    def _held(self, s, rack, want):
+        """Whether a rack could hold so many tasks of this step if it were empty."""
+        n = 0
+        for room, labels in self.racks.get((s.job.group, rack), ()):
+            if not s.label or s.label in labels:
+                n += min([want] + [int(f // d) for f, d in zip(room, s.need) if d])
+        return n >= want
+
+    def fit(self, s, waited, racked=True):
+        """Minions that may run a task of this step, best first."""
+        ok = [r for r in self.by.get(s.job.group, ()) if r.fits(s.need) and (not s.label or s.label in r.labels)]
+        if s.near and racked:
+            near = [r for r in ok if r.rack == s.near]
+            # the rack of its data is worth waiting for, if it could ever take the task
+            if near or (waited < self._worth(s) and self._held(s, s.near, 1)):
+                ok = near
+        # small work goes where the least is left, so that room for large work stays whole
+        if s.need[2]:
+            ok.sort(key=lambda r: (-r.grade, r.gpus, not r.ready, r.cpu, r.mid))
+        else:
+            ok.sort(key=lambda r: (-r.grade, r.gpus > 0, not r.ready, r.cpu, r.mid))
+        return ok
+
+    def gang(self, s, waited):
+        """All members at once, in one rack where that pays: [] or one bundle."""
+        ok, got, want = self.fit(s, waited), None, len(s.tasks)
+        if s.one_rack:
+            racks = {}
+            for r in ok:
+                racks.setdefault(r.rack, []).append(r)
+            # the rack that it fills best
+            for nam in sorted(racks, key=lambda n: (sum(r.cpu for r in racks[n]), n)):
+                got = self._whole(s, racks[nam], want)
+                if got:
+                    break
+            if got is None and waited < self._worth(s) and any(
+                    self._held(s, rack, want) for g, rack in self.racks if g == s.job.group):
+                return []
+        got = got or self._whole(s, ok, want)
+        if got is None:
+            return []
+        run, items = max(t.top for t in s.tasks) + 1, []
+        for t, r in zip(s.tasks, got):
+            r.take(s.need)
+            items.append({'task': t.key, 'run': run, 'mid': r.mid})
+        return [{'items': items}]
+
+    def _whole(self, s, rooms, want):
+        """A room for each member, or None."""
+        out = []
+        for r in rooms:
+            n = r.times(s.need, min(want - len(out), s.apart or want))
+            out += [r] * n
+            if len(out) == want:
+                return out
+        return None
+
+    def keep(self, s, waited):
+        """Room is kept for what needs much of it at once and has waited: one step a group and priority at a time."""
+        key = (s.job.group, s.job.prio)
+        if key in self.kept or waited < self.b.set.view.silence_ms * KEEP:
+            return
+        mine = [r for r in self.by.get(s.job.group, ()) if not r.kept and (not s.label or s.label in r.labels)]
+        got = self._target(s, mine)
+        if got:
+            self.kept[key] = True
+            self.b.count['room.kept'] += 1
+            for r in got:
+                r.kept = True
+
+    def _target(self, s, rooms):
+        """The minions to leave to it: where it comes in soonest by what is free now."""
+        links = self.p.tender.links
+        if not s.together:
+            # only work that takes a good part of a minion is ever starved by small work
+            big = [r for r in rooms if self._share(s, links[r.mid].room) >= 0.5]
+            big.sort(key=lambda r: (-r.gpus, -r.cpu, r.mid))
+            return big[:1]
+        want, racks = len(s.tasks), {}
+        if not s.one_rack:
+            return []
+        for r in rooms:
+            racks.setdefault(r.rack, []).append(r)
+        able = [n for n in racks if self._held(s, n, want)]
+        if not able:
+            return []
+        best = max(able, key=lambda n: (sum(r.times(s.need, want) for r in racks[n]), n))
+        return racks[best]
+
+    def _share(self, s, room):
+        if any(d > f for d, f in zip(s.need, room)):
+            return 0
+        return max([d / f for d, f in zip(s.need, room) if f] or [0])
--- a/asterwharf/orchard/tender.py
+++ b/asterwharf/orchard/tender.py
@@ -27,8 +27,8 @@
 class Link:
     """What the holder knows of one minion beyond what is delivered."""
 
-    __slots__ = ('answered', 'begun', 'count', 'doc', 'drain', 'due', 'ended', 'gave', 'give', 'group', 'held', 'kind', 'labels', 'lapse',
-                 'leaves', 'mid', 'noted', 'noting', 'rack', 'recv', 'room', 'running', 'state', 'timers', 'zone')
+    __slots__ = ('answered', 'count', 'doc', 'drain', 'due', 'ended', 'gave', 'give', 'group', 'held', 'kind', 'labels', 'lapse',
+                 'leaves', 'mid', 'noted', 'noting', 'past', 'prog', 'rack', 'recv', 'room', 'running', 'state', 'timers', 'zone')
 
     def __init__(self, mid, now):
         self.mid, self.state, self.doc, self.recv, self.answered, self.count = mid, DISCONNECTED, None, now, now, -1
@@ -36,7 +36,19 @@
         # held: what it runs or was told to since; gave: runs given up in a change that may not be delivered yet
         self.running, self.ended, self.timers, self.held, self.gave = {}, {}, {}, {}, {}
         self.drain, self.leaves, self.group, self.zone, self.labels, self.rack, self.kind = 0, 0, '', '', (), '', ''
-        self.room, self.begun = (0, 0, 0), {}
+        self.room, self.prog, self.past = (0, 0, 0), {}, {}
+
+    def progress(self, now):
+        """Follows how far each run has come, as (first seen, percent then, last step seen, percent then, run)."""
+        self.past = {k: p for k, p in self.prog.items() if k not in self.running}
+        for k, (run, _, pct) in self.running.items():
+            p = self.prog.get(k)
+            if p is None or p[4] != run:
+                self.prog[k] = (now, pct, now, pct, run)
+            elif pct != p[3]:
+                self.prog[k] = (p[0], p[1], now, pct, run)
+        for k in self.past:
+            del self.prog[k]
 
     def turn(self, new):
         """The one function for every change of a link's state."""
@@ -133,10 +145,7 @@
         l.kind, l.rack = (list(l.labels) + ['', ''])[:2]
         l.room = d['cpu'], d['mem'], d['gpus']
         l.running = {r[0]: (r[1], r[2], r[3]) for r in d['running']}
-        for k in l.running.keys() - l.begun.keys():
-            l.begun[k] = now
-        for k in l.begun.keys() - l.running.keys():
-            del l.begun[k]
+        l.progress(now)
         if d['state'] == 'draining':
             l.drain = l.drain or now
         left = d.get('leaves_at_ms')
@@ -233,7 +242,8 @@
         if not self.look:
             return
         look, self.look = self.look, set()
-        for mid in look:
+        # in one order, so that a day of the simulator is the same again
+        for mid in sorted(look):
             l = self.links.get(mid)
             if l is not None and l.give is not None:
                 self._answer(l)
--- a/asterwharf/view/seat.py
+++ b/asterwharf/view/seat.py
@@ -26,7 +26,7 @@
 class Seat(Rows):
     """Takes messages, ticks and sync notices; leaves messages, batches and deliveries."""
 
-    __slots__ = ('asked', 'cfg', 'count', 'desk', 'due', 'grp', 'heard', 'holder', 'inc', 'log', 'mac', 'name', 'now',
+    __slots__ = ('asked', 'born', 'cfg', 'count', 'desk', 'due', 'grp', 'heard', 'holder', 'inc', 'log', 'mac', 'name', 'now',
                  'parts', 'peers', 'proved', 'rng', 'rows', 'since', 'state', 'ten', 'upto', 'view', 'vote', 'votes', 'waits',
                  'done', 'news', 'lag', 'sure', 'wall')
 
@@ -37,7 +37,9 @@
         self.peers, self.parts, self.done, self.news, self.asked = set(), [], [], [], 0
         # what was ordered once in a protocol's words, every seat could read
         self.proved = 0
-        self.state, self.since, self.heard, self.due, self.lag, self.wall = LEARNER, now, now, 0, 0, now
+        self.born = now
+        # nobody was heard in this life yet: nothing stands against another's claim, and ours need not wait long
+        self.state, self.since, self.heard, self.due, self.lag, self.wall = LEARNER, now, now - cfg.silence_ms, 0, 0, now
         self.count = {'views': 0, 'syncs': 0, 'sent': 0, 'handed': 0, 'trimmed': 0}
         if saved['meta']:
             self._restore(saved)
@@ -165,7 +167,9 @@
     # --- time
     def _rest(self):
         s = self.cfg.silence_ms
-        self.due = self.now + int(s * (1 + self.rng.random() * self.cfg.spread_ratio))
+        # of a group that begins or begins again, the first to ask may hold; where one holds, it is heard before that
+        far = 1 if self.heard > self.born else self.cfg.first_ratio
+        self.due = self.now + int(s * far * (1 + self.rng.random() * self.cfg.spread_ratio))
 
     def tick(self, now, wall):
         self.now, self.wall = now, wall
--- a/asterwharf/wire/daemon.py
+++ b/asterwharf/wire/daemon.py
@@ -20,6 +20,8 @@
 
 TICK = 0.02
 SLOWEST = 100
+# of the bound on silence: how long a dial may take; what was sent into a cut is sent again ever more seldom, a new dial at once
+DIAL = 1.0
 # how often the settings file is looked at, in ms: it may change without a signal
 LOOK = 1000
 
@@ -32,7 +34,7 @@
     def init(self, node, store, over=None, path='', cuts='', load=settings.load, watch=False):
         """`load(path, over)` reads the settings file again: a Result of Settings; with `watch` also without a signal."""
         self.node, self.store, self.b, self.load = node, store, node.b, load
-        self.conns, self.peers, self.legs, self.again, self.dialled = {}, {}, {}, True, set()
+        self.conns, self.peers, self.again, self.dialled = {}, {}, True, {}
         self.over, self.path, self.trials = over or {}, path, Trials(cuts)
         st = self.b.set
         self.tick_ms = max(10, min(SLOWEST, int(st.view.silence_ms * TICK)))
@@ -66,6 +68,8 @@
         # a connection that never greets is not one of ours
         for c in [c for c in self.conns.values() if c.peer is None and now - c.born > self.b.set.link.auth_ms]:
             self.drop(c, 'no hello in time')
+        for g in [g for g in self.dialled.values() if now - g.born > self.b.set.view.silence_ms * DIAL]:
+            g.give_up()
         for p in self.parts:
             p.sweep()
 
@@ -203,11 +207,10 @@
     def dial(self, addr):
         if addr in self.dialled or settings.address(addr) is None:
             return
-        self.dialled.add(addr)
-        Leg(self, addr).register(self)
+        self.dialled[addr] = Leg(self, addr).register(self)
 
     def undialled(self, addr, ok):
-        self.dialled.discard(addr)
+        self.dialled.pop(addr, None)
         if not ok:
             for c in self.node.ctl:
                 if hasattr(c, 'unreached'):
--- a/asterwharf/wire/links.py
+++ b/asterwharf/wire/links.py
@@ -87,6 +87,7 @@
 
     def came(self, sock):
         c = self.dmn.conns[sock] = Side(self.dmn, sock)
+        c.patience(self.dmn.b.set.view.silence_ms * 3)
         c.hello()
 
     def got(self, sock, data):
@@ -121,9 +122,14 @@
     def _on_ready(self, *args):
         self.fire(connect(*settings.address(self.addr)))
 
+    def give_up(self):
+        """The dial has taken too long."""
+        self.tcp.give_up()
+
     @handler('connected')
     def _on_connected(self, *args):
         self.open = True
+        self.patience(self.dmn.b.set.view.silence_ms * 3)
         self.dmn.undialled(self.addr, True)
         self.hello()
 
--- a/asterwharf/wire/tcp.py
+++ b/asterwharf/wire/tcp.py
@@ -251,6 +251,11 @@
             event.stop()
             self._fail()
 
+    def give_up(self):
+        """Ends a dial that nobody has answered."""
+        if self.going:
+            self._fail()
+
     def _fail(self):
         self.going = False
         self._poller.discard(self._sock)
--- a/tests/test_lean.py
+++ b/tests/test_lean.py
@@ -5,7 +5,7 @@
 from collections import Counter
 
 import pytest
-from circuits import BaseComponent
+from circuits import BaseComponent, handler
 from circuits.core.events import generate_events
 
 from asterwharf.door import lean
@@ -398,3 +398,31 @@
     assert loop.until(lambda: len(sink.raw) >= len(want)) and sink.raw == want
     assert not loop.poll.isWriting(cli._sock)
     lis.deafen()
+
+
+def test_a_dial_that_nobody_answers_is_given_up_and_told_once():
+    loop, told = Loop(), []
+
+    class Hears(BaseComponent):
+        channel = 'cli'
+
+        @handler('unreachable')
+        def _on_unreachable(self, *args):
+            told.append(args)
+    # a listener that accepts nobody: once its queue is full, whoever dials waits for an answer
+    with socket.create_server(('127.0.0.1', 0), backlog=0) as srv:
+        full = [socket.socket() for _ in range(4)]
+        for s in full:
+            s.setblocking(False)
+            s.connect_ex(srv.getsockname())
+        loop.add(Hears())
+        cli = loop.add(Dialer(channel='cli'))
+        cli.connect(*srv.getsockname())
+        loop.turn(0.05)
+        assert cli.going and not told
+        cli.give_up()
+        cli.give_up()
+        loop.turn()
+        assert len(told) == 1 and not cli.going and cli._sock.fileno() == -1
+        for s in full:
+            s.close()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -214,7 +214,10 @@
 class Board:
     def __init__(self, st):
         self.set, self.count, self.leaving, self.me, self.links, self.holders = st, Counter(), False, 'me', {'h': {}}, {'commons': ('h', 1)}
-        self.atlas = type('Atlas', (), {'queues': None})()
+        self.atlas, self.said = type('Atlas', (), {'queues': None})(), []
+
+    def log(self, lvl, evt, **kws):
+        self.said.append(evt)
 
 
 class Daemon:
@@ -318,6 +321,7 @@
     f = front.Front(dmn)
     for doc in (b'{"steps":', {'steps': [{'count': 0}]}, [1]):
         assert Asked(f, 'POST', f'/lo/{ID}', doc).status == 400
+    assert dmn.b.said == ['job refused'] * 3
     assert not dmn.trips and (f.max_body, f.max_head, f.stall_ms, f.idle_ms) == (262144, 16384, 3000, 15000)
 
 
