Grow a group of three founders to the seats that two losses want; a lost seat stays in its zone

Cause: a process learns three seeds and not the core's size, so a core is founded by three; the grown sites may lose two counted machines at once. A newcomer from any zone took a lost seat, after which the loss of one zone could take the majority. Ruled out: founding by all (their number is not known), a count in the deploy file (4 and 3 machines). Change: seats are added one at a time, each counting for nobody until delivered, only while every seat is in hearing, first where fewest seats lie; from another zone a lost seat is taken after 30 bounds.

--- a/asterwharf/base/settings.py
+++ b/asterwharf/base/settings.py
@@ -42,6 +42,8 @@
     beat_ratio: float = 0.12
     spread_ratio: float = 0.5
     slow_sync_ratio: float = 0.5
+    # how many seats a group grows to where more core nodes than founders are there; 0 leaves it as founded
+    seats: int = 0
     # the wait of a seat that has heard no holder since it started
     first_ratio: float = 0.4
     # silence after which a newcomer takes the seat of one that is lost
@@ -138,7 +140,7 @@
     for o, p in ((s, ''), (s.link, 'link.'), (s.view, 'view.'), (s.call, 'call.')):
         for f in fields(o):
             v = getattr(o, f.name)
-            if isinstance(v, (int, float)) and v <= 0 and f.name not in ('gpus', 'found'):
+            if isinstance(v, (int, float)) and v <= 0 and f.name not in ('gpus', 'found', 'seats'):
                 bad.append(f'{p}{f.name}: must be above zero')
     l = s.link
     # the fence: an agent must have stopped its work before anyone may start it anew
--- a/asterwharf/orchard/kinds.py
+++ b/asterwharf/orchard/kinds.py
@@ -13,4 +13,6 @@
 kind(165, 'y_lapse', (4, {'at': 'l', 'items': [dict(_RUN, mid='s', how='s', save='s')]}))
 kind(166, 'y_stop', (4, {'at': 'l', 'items': [_RUN]}))
 kind(167, 'y_forget', (4, {'ids': 'S'}))
+kind(168, 'y_drain', (4, {'minion': 's', 'on': 'b', 'by': 's', 'at': 'l', 'until': 'l'}))
 kind(170, 'r_yard', (4, {'v': 'j'}))
+kind(171, 'r_drain', (4, {'minion': 's', 'by': 's', 'at': 'l', 'until': 'l'}))
--- a/asterwharf/orchard/mover.py
+++ b/asterwharf/orchard/mover.py
@@ -34,7 +34,8 @@
         stops = {}
         for mid, l in self.tender.links.items():
             if l.prog:
-                (self._leave if l.drain else self._judge)(l, stops)
+                gone = self._gone(l)
+                self._judge(l, stops) if gone is None else self._leave(l, stops, gone)
         self._push(stops)
         if stops:
             self.cell.order('y_stop', {'at': self.cell.wall, 'items': [{'task': k, 'run': r} for k, r in stops.items()]})
@@ -57,10 +58,15 @@
             if p is not None and not t.stop and t.mid == l.mid and p[4] == t.run and not t.step.job.fate:
                 yield t, p
 
-    def _leave(self, l, stops):
+    def _gone(self, l):
+        """When nothing of ours may run there any more, by its own word or an operator's; None where that is open."""
+        b, (_, _, until) = self.b, self.mac.drains.get(l.mid, ('', 0, 0))
+        ends = [l.leaves or l.drain + b.set.call.drain_ms] if l.drain else []
+        return min(ends + [b.now + until - self.cell.wall] * (until > 0), default=None)
+
+    def _leave(self, l, stops, gone):
         """What can't end before the minion is gone goes now, with its checkpoint."""
         b = self.b
-        gone = l.leaves or l.drain + b.set.call.drain_ms
         for t, p in self._mine(l):
             left = self.health.left(p)
             if left is None:
@@ -93,11 +99,12 @@
     # --- urgent work
     def _push(self, stops):
         """Lesser work makes room for urgent work that has waited."""
-        mac, b = self.mac, self.b
+        mac, b, jdg = self.mac, self.b, self.placer.judge
+        jdg.refill()
         wait, n, done = b.set.view.silence_ms * PUSH, 0, set()
         going = sum(t.stop for box in mac.on.values() for t in box.values() if not t.step.job.fate)
         for s in sorted(mac.ready.values(), key=lambda s: (s.job.prio, s.job.at, s.job.id, s.n)):
-            key = (s.job.group, s.job.prio, s.need, s.label)
+            key = (s.job.group, s.job.prio, s.need, s.label, jdg.key(s))
             if s.together or s.lasts or key in done or going + n >= PUSHES or self.placer.waited(s) < wait:
                 continue
             done.add(key)
@@ -116,6 +123,8 @@
         for mid, l in self.tender.links.items():
             if l.group != s.job.group or not self.tender.open(l) or (s.label and s.label not in l.labels):
                 continue
+            if mid in self.mac.drains or not self.placer.judge.may(s, l):
+                continue
             used = self.mac.used.get(mid, (0, 0, 0))
             free = [r - u for r, u in zip(l.room, used)]
             if any(d > r for d, r in zip(s.need, l.room)):
@@ -124,7 +133,8 @@
             if any(k in stops or t.stop for k, t in self.mac.on.get(mid, {}).items()):
                 continue
             got, cost = [], 0.0
-            mine = [(self._cost(t, p), t.key, t) for t, p in self._mine(l) if t.step.job.prio > s.job.prio and not t.step.together]
+            mine = [(self._cost(t, p), t.key, t) for t, p in self._mine(l) if t.step.job.prio > s.job.prio and not t.step.together
+                    and self.placer.judge.may_evict(s, l, t)]
             for c, _, t in sorted(mine, key=lambda r: r[:2]):
                 if all(f >= d for f, d in zip(free, s.need)):
                     break
--- a/asterwharf/orchard/placer.py
+++ b/asterwharf/orchard/placer.py
@@ -2,6 +2,7 @@
 
 from asterwharf.base.board import Controller
 from asterwharf.orchard.model import READY
+from asterwharf.orchard.policy import Judge
 from asterwharf.orchard.rooms import Rooms
 
 # starts in one decision
@@ -13,11 +14,11 @@
 class Placer(Controller):
     """Urgent queues first, then who came first; a gang whole or not at all."""
 
-    __slots__ = ('busy', 'cell', 'due', 'first', 'health', 'stale', 'tender', 'term')
+    __slots__ = ('busy', 'cell', 'due', 'first', 'health', 'judge', 'stale', 'tender', 'term')
 
     def __init__(self, b, cell, tender, health):
         super().__init__(b)
-        self.cell, self.tender, self.health = cell, tender, health
+        self.cell, self.tender, self.health, self.judge = cell, tender, health, Judge(b)
         self.busy, self.due, self.term, self.stale = False, 0, -1, True
         # step -> when it was first looked at with something to place
         self.first = {}
@@ -29,6 +30,7 @@
     def tick(self):
         if self.tender.term != self.term:
             self.term, self.busy, self.first = self.tender.term, False, {}
+        self.judge.tick(self.term >= 0)
         if self.term < 0 or not self.cell.takes:
             return
         self._times()
@@ -74,11 +76,12 @@
     def _decide(self):
         out, n, full = [], 0, set()
         self.first = {k: v for k, v in self.first.items() if k in self.mac.ready}
+        self.judge.refill()
         rooms = Rooms(self)
         for s in self._order():
             waited = self.waited(s)
             # what found no room a moment ago leaves none for what asks for as much
-            key = (s.job.group, s.need, s.label, s.near, s.one_rack, len(s.tasks) if s.together else 0, s.apart and s)
+            key = (s.job.group, s.need, s.label, s.near, s.one_rack, len(s.tasks) if s.together else 0, s.apart and s, self.judge.key(s))
             if n >= MOST or key in full:
                 continue
             got = rooms.gang(s, waited) if s.together else self._each(s, rooms, waited)
@@ -88,6 +91,8 @@
             if m < s.ready:
                 full.add(key)
                 rooms.keep(s, waited)
+        # policies still have cases to judge
+        self.stale = self.stale or self.judge.short
         return out
 
     def _each(self, s, rooms, waited):
--- a/asterwharf/orchard/rooms.py
+++ b/asterwharf/orchard/rooms.py
@@ -9,11 +9,11 @@
 class Room:
     """One minion's room."""
 
-    __slots__ = ('cpu', 'gpus', 'grade', 'kept', 'labels', 'mem', 'mid', 'rack', 'ready')
+    __slots__ = ('cpu', 'gpus', 'grade', 'kept', 'labels', 'link', 'mem', 'mid', 'rack', 'ready')
 
     def __init__(self, l, used):
         self.mid, self.rack, self.labels, self.ready, self.grade, self.kept = l.mid, l.rack, l.labels, l.give is not None, 0.0, False
-        c, m, g = l.room
+        self.link, (c, m, g) = l, l.room
         self.cpu, self.mem, self.gpus = (c - used[0], m - used[1], g - used[2]) if used else (c, m, g)
 
     def fits(self, need):
@@ -38,7 +38,7 @@
         self.p, self.b, self.by, self.racks, self.kept = placer, placer.b, {}, {}, {}
         mac, t, hlt, empty = placer.mac, placer.tender, placer.health, placer.b.atlas.emptied
         for mid, l in t.links.items():
-            if not t.open(l) or l.zone in empty or not hlt.trusted(l):
+            if not t.open(l) or l.zone in empty or mid in mac.drains or not hlt.trusted(l):
                 continue
             r = Room(l, mac.used.get(mid))
             # what it holds that is no run of ours any more takes its room until it has ended
@@ -46,7 +46,7 @@
                 r.take(mac.need(k) or l.room)
             r.grade = hlt.grade(l)
             self.by.setdefault(l.group, []).append(r)
-            self.racks.setdefault((l.group, l.rack), []).append((l.room, l.labels))
+            self.racks.setdefault((l.group, l.rack), []).append(l)
 
     @property
     def patience(self):
@@ -59,14 +59,15 @@
     def _held(self, s, rack, want):
         """Whether a rack could hold so many tasks of this step if it were empty."""
         n = 0
-        for room, labels in self.racks.get((s.job.group, rack), ()):
-            if not s.label or s.label in labels:
-                n += min([want] + [int(f // d) for f, d in zip(room, s.need) if d])
+        for l in self.racks.get((s.job.group, rack), ()):
+            if (not s.label or s.label in l.labels) and self.p.judge.may(s, l):
+                n += min([want] + [int(f // d) for f, d in zip(l.room, s.need) if d])
         return n >= want
 
     def fit(self, s, waited, racked=True):
         """Minions that may run a task of this step, best first."""
         ok = [r for r in self.by.get(s.job.group, ()) if r.fits(s.need) and (not s.label or s.label in r.labels)]
+        ok = self.p.judge.land(s, ok)
         if s.near and racked:
             near = [r for r in ok if r.rack == s.near]
             # the rack of its data is worth waiting for, if it could ever take the task
@@ -77,7 +78,7 @@
             ok.sort(key=lambda r: (-r.grade, r.gpus, not r.ready, r.cpu, r.mid))
         else:
             ok.sort(key=lambda r: (-r.grade, r.gpus > 0, not r.ready, r.cpu, r.mid))
-        return ok
+        return self.p.judge.ranked(s, ok)
 
     def gang(self, s, waited):
         """All members at once, in one rack where that pays: [] or one bundle."""
@@ -86,8 +87,8 @@
             racks = {}
             for r in ok:
                 racks.setdefault(r.rack, []).append(r)
-            # the rack that it fills best
-            for nam in sorted(racks, key=lambda n: (sum(r.cpu for r in racks[n]), n)):
+            # the rack that it fills best, of those that its policy likes best
+            for nam in sorted(racks, key=lambda n: (-self.p.judge.worth(s, racks[n]), sum(r.cpu for r in racks[n]), n)):
                 got = self._whole(s, racks[nam], want)
                 if got:
                     break
@@ -119,7 +120,7 @@
         if key in self.kept or waited < self.b.set.view.silence_ms * KEEP:
             return
         mine = [r for r in self.by.get(s.job.group, ()) if not r.kept and (not s.label or s.label in r.labels)]
-        got = self._target(s, mine)
+        got = self._target(s, self.p.judge.land(s, mine))
         if got:
             self.kept[key] = True
             self.b.count['room.kept'] += 1
--- a/asterwharf/orchard/yard.py
+++ b/asterwharf/orchard/yard.py
@@ -1,5 +1,6 @@
 """The state machine of the cell whose minions call in: jobs and runs, changed only by delivered changes. Pure."""
 
+from asterwharf.orchard.drains import DRAIN, Drains
 from asterwharf.orchard.model import CANCELLED, DONE, FAILED, FINAL, READY, RUN, STEPS, WAIT, Job, Step, build
 from asterwharf.orchard import kinds  # noqa: F401
 from asterwharf.wire.schema import PROTO, pack, unpack
@@ -7,7 +8,7 @@
 ROW = 'r_yard'
 
 
-class Yard:
+class Yard(Drains):
     """Applies changes in the group's one order; the same on every seat."""
 
     __slots__ = ('changed', 'dirty', 'ended', 'floor', 'jobs', 'on', 'open', 'reads', 'ready', 'timed', 'used', 'waiting')
@@ -23,8 +24,10 @@
         self.on, self.used, self.ready = {}, {}, {}
         # for the holder, not kept: minions whose runs have changed, and how runs have ended
         self.changed, self.ended = set(), []
+        self.undrained()
         for raw in rows.values():
-            self._row(unpack(raw, self.reads)[1]['v'])
+            knd, d = unpack(raw, self.reads)
+            self.drained(d) if knd == DRAIN else self._row(d['v'])
 
     def _row(self, d):
         live = d.pop('live')
@@ -48,7 +51,7 @@
         """Rows changed since the last call; None where a row is no more."""
         out = {f'job:{i}': pack(ROW, {'v': self.jobs[i].dump()}) if i in self.jobs else None for i in sorted(self.dirty)}
         self.dirty = set()
-        return out
+        return out | self.drain_rows()
 
     def apply(self, op, raw):
         knd, d = unpack(raw, self.reads)
@@ -249,7 +252,7 @@
         return out
 
     def _good(self, its):
-        if any(t is None or t.step.job.fate or r <= t.top for t, r, _ in its):
+        if any(t is None or t.step.job.fate or r <= t.top or m in self.drains for t, r, m in its):
             return False
         s = its[0][0].step
         if not s.together:
--- a/asterwharf/scheduler/queues.py
+++ b/asterwharf/scheduler/queues.py
@@ -1,4 +1,4 @@
-"""The queues document: queues, groups of minions, limits. Its shape, its checks, its compiled form. Pure.
+"""The queues document: queues, groups of minions, limits, placement policies. Its shape, its checks, its compiled form. Pure.
 
 Operators send it whole, or change named items of it. What has no word here stands under `more`, at every level;
 the document is kept as it was sent and read back as it was sent.
@@ -19,6 +19,9 @@
 
 # named things in all, how many of them one turn of the loop reads, how deep `more` may nest
 MOST, SLICE, DEPTH = 20000, 1000, 64
+# placement policies in one document: each is compiled on every core node
+POLICIES = 100
+PROGRAMS = ('may_land', 'may_evict', 'score')
 # the largest whole number: every reader of JSON keeps it exactly, and it fits a record
 BIG = 1 << 53
 
@@ -38,6 +41,7 @@
     priority: int = 0
     tries: int = 3
     stretch: float = 1.0
+    policy: str = ''
     more: dict = field(default_factory=dict)
 
 
@@ -61,12 +65,23 @@
     more: dict = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class Program:
+    """A placement policy: programs in CEL; where one is empty, placing goes on as without a policy."""
+
+    may_land: str = ''
+    may_evict: str = ''
+    score: str = ''
+    more: dict = field(default_factory=dict)
+
+
 @dataclass(frozen=True, slots=True)
 class Doc:
     number: int
     queues: list[dict]
     groups: list[dict]
     limits: Limits = field(default_factory=Limits)
+    policies: dict[str, Program] = field(default_factory=dict)
     more: dict = field(default_factory=dict)
 
 
@@ -74,12 +89,14 @@
 class Items:
     queues: list[dict] = field(default_factory=list)
     groups: list[dict] = field(default_factory=list)
+    policies: dict[str, dict] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
 class Names:
     queues: list[str] = field(default_factory=list)
     groups: list[str] = field(default_factory=list)
+    policies: list[str] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,6 +179,8 @@
     """What stands beside the named things."""
     res = read(Doc, {k: [] if k in ('queues', 'groups') and type(v) is list else v for k, v in doc.items()})
     bad, num, lim = res.error if res.is_error() else [], doc.get('number'), doc.get('limits')
+    if isinstance(doc.get('policies'), dict) and len(doc['policies']) > POLICIES:
+        bad.append(f"policies: {len(doc['policies'])} are more than {POLICIES}")
     if type(num) is int and not 1 <= num <= BIG:
         bad.append(f'number: {num} is not between 1 and {BIG}')
     elif type(num) is int and num <= above:
@@ -172,6 +191,28 @@
     return bad
 
 
+@lru_cache(4 * POLICIES)
+def _compiles(may_land, may_evict, score):
+    """The mistakes of a policy's programs."""
+    from asterwharf.scheduler import policy
+    res = policy.compile_policy(Program(may_land, may_evict, score))
+    return tuple(res.error) if res.is_error() else ()
+
+
+def _programs(pols, bad):
+    """Compiles each policy in a slice of its own."""
+    # the library is large and slow to read: only where there are policies
+    from asterwharf.scheduler import policy
+    yield 1
+    policy.warm()
+    yield 1
+    for n, p in pols.items():
+        if not n:
+            bad.append('policies: one has an empty name')
+        bad += [f'policies.{n}.{m}' for m in _compiles(*(p.get(k, '') for k in PROGRAMS))]
+        yield 1
+
+
 def checking(doc, above=0):
     """The check in slices: yields after each, and returns the Result of the number, or of every mistake with its path."""
     if not isinstance(doc, dict):
@@ -190,12 +231,17 @@
                 _named(v, pth, seen[k], bad)
                 if cls is Queue:
                     _queue(v, pth, at, bad)
-                    wants.append((pth, v['group']))
+                    wants.append((pth, v['group'], v.get('policy', '')))
             n += 1
             if n == SLICE:
                 yield n
                 n = 0
-    bad += [f'{p}.group: no group {g!r}' for p, g in wants if g not in seen['groups']]
+    pols = doc.get('policies') or {}
+    bad += [f'{p}.group: no group {g!r}' for p, g, _ in wants if g not in seen['groups']]
+    bad += [f'{p}.policy: no policy {o!r}' for p, _, o in wants if o and o not in pols]
+    # what is not even well typed is not compiled
+    if pols and not bad:
+        yield from _programs(pols, bad)
     return Error(trouble('bad_config', *bad)) if bad else Ok(doc['number'])
 
 
@@ -221,6 +267,8 @@
                 new[nam] = v
         old = [new.pop(v['name'], v) for v in out.get(k, ()) if v['name'] in new or v['name'] not in gone]
         out[k] = old + list(new.values())
+    if c.set.policies or c.drop.policies:
+        out['policies'] = {k: v for k, v in (out.get('policies') or {}).items() if k not in c.drop.policies} | c.set.policies
     return Error(trouble('bad_config', *bad)) if bad else Ok(out)
 
 
@@ -253,6 +301,11 @@
     return json.loads(zlib.decompress(base64.b64decode(raw[raw.index(b'\n') + 1:]))) if raw else None
 
 
+def may_judge(raw):
+    """Whether the document of a row may hold placement policies; it is not read for that."""
+    return bool(raw) and b'"policies"' in zlib.decompress(base64.b64decode(raw[raw.index(b'\n') + 1:]))
+
+
 def _made(cls, val):
     val.pop('more', None)
     # a field of a later release is nothing to this one
@@ -262,13 +315,15 @@
 class Queues:
     """A document in force, to be read only: all copies of a process share it. `find` is made for every request."""
 
-    __slots__ = ('_hosts', '_raw', 'groups', 'limits', 'number', 'queues')
+    __slots__ = ('_hosts', '_raw', 'groups', 'limits', 'number', 'policies', 'queues')
 
     def __init__(self, raw):
         self._raw, doc = raw, body(raw)
         self.number = doc['number']
         self.queues = {v['name']: _made(Queue, v) for v in doc['queues']}
         self.groups = {v['name']: _made(Group, v) for v in doc['groups']}
+        # the programs as they were sent; whoever places compiles them
+        self.policies = {n: {k: p.get(k, '') for k in PROGRAMS} for n, p in doc.get('policies', {}).items()}
         lim = doc.get('limits', {})
         self.limits = {f.name: lim.get(f.name) or f.default for f in fields(Limits) if f.name != 'more'}
         by, rows = {}, {}
--- a/asterwharf/view/chair.py
+++ b/asterwharf/view/chair.py
@@ -83,6 +83,8 @@
         lnk = self.b.links
         self.seat.peers = {p for p, h in lnk.items() if (p in self.among if self.among else h['role'] == 'trellis')}
         self.protos.update((p, h['proto']) for p, h in lnk.items())
+        self.seat.zones.update((p, h['zone']) for p, h in lnk.items())
+        self.seat.zones[self.b.me] = self.b.zone
         # rows go to siblings as they are: they, too, must be readable by all
         self.mac.floor = self.floor
         self.seat.tick(self.b.now, self.b.wall)
--- a/asterwharf/view/seat.py
+++ b/asterwharf/view/seat.py
@@ -28,7 +28,7 @@
 
     __slots__ = ('asked', 'born', 'cfg', 'count', 'desk', 'due', 'grp', 'heard', 'holder', 'inc', 'log', 'mac', 'name', 'now',
                  'parts', 'peers', 'proved', 'rng', 'rows', 'since', 'state', 'ten', 'upto', 'view', 'vote', 'votes', 'waits',
-                 'done', 'news', 'lag', 'sure', 'wall')
+                 'done', 'news', 'lag', 'sure', 'wall', 'zones')
 
     def __init__(self, grp, name, inc, cfg, rng, mac, saved, now):
         self.grp, self.name, self.inc, self.cfg, self.rng, self.mac, self.now = grp, name, inc, cfg, rng, mac, now
@@ -36,7 +36,7 @@
         self.log, self.rows, self.votes, self.waits, self.sure = Log(), {}, set(), {}, 0
         self.peers, self.parts, self.done, self.news, self.asked = set(), [], [], [], 0
         # what was ordered once in a protocol's words, every seat could read
-        self.proved = 0
+        self.proved, self.zones = 0, {}
         self.born = now
         # nobody was heard in this life yet: nothing stands against another's claim, and ours need not wait long
         self.state, self.since, self.heard, self.due, self.lag, self.wall = LEARNER, now, now - cfg.silence_ms, 0, 0, now
--- a/asterwharf/view/tenure.py
+++ b/asterwharf/view/tenure.py
@@ -2,8 +2,8 @@
 
 from asterwharf.view.log import Entry
 
-# beats whose time of sending is kept
-KEPT = 64
+# beats whose time of sending is kept; of the silence bound: how long a newcomer from another zone waits for a lost seat
+KEPT, APART = 64, 30.0
 
 
 class Way:
@@ -238,12 +238,34 @@
                 continue
             if s.log.last - w.ack > 50 or s.now - w.heard > s.cfg.silence_ms:
                 continue
-            out = n if n in s.log.seats else self._wished(n) or self._lost()
-            if out:
+            out = n if n in s.log.seats else self._wished(n) or self._lost(n)
+            if out or self._grows(n):
                 s.change_seat(out, n, w.inc)
                 self.urgent = True
                 return
 
+    def _held(self, zone):
+        """How many seats a zone has."""
+        return sum(self.seat.zones.get(n, '') == zone for n in self.seat.log.seats)
+
+    def _grows(self, new):
+        """Whether a newcomer gets a seat of its own: the group was founded smaller than it shall be."""
+        s = self.seat
+        if len(s.log.seats) >= s.cfg.seats:
+            return False
+        # until it is delivered the new seat counts for nobody: not a moment for it when another is missing
+        if any(not self._fresh(n) for n in s.others()):
+            return False
+        # seats lie apart: first where there are fewest
+        free = [n for n, w in self.ways.items() if n not in s.log.seats and w.ack and s.now - w.heard < s.cfg.silence_ms]
+        zone = s.zones.get
+        return self._held(zone(new, '')) == min(self._held(zone(n, '')) for n in free)
+
+    def _fresh(self, n):
+        w = self.ways.get(n)
+        near = n in self.seat.peers and w is not None and self.seat.now - w.heard < self.seat.cfg.silence_ms / 2
+        return near and w.inc == self.seat.log.seats.get(n)
+
     def sees(self, n):
         """Whether a seat was heard a moment ago."""
         w = self.ways.get(n)
@@ -271,12 +293,17 @@
             return 'promised'
         return 'under_way'
 
-    def _lost(self):
+    def _lost(self, new):
+        """The seat out of sight that a newcomer may take, or ''."""
         s = self.seat
-        far = s.cfg.silence_ms * s.cfg.lost_ratio
-        old = [n for n in s.others() if n not in self.ways or s.now - self.ways[n].heard > far]
+        far = s.cfg.lost_ratio
+        old = {n: self.ways[n].heard if n in self.ways else -1 for n in s.others()}
+        zone = s.zones.get
+        # in another zone it takes longer: the loss of one zone must leave a majority
+        old = {n: at for n, at in old.items()
+               if s.now - at > s.cfg.silence_ms * (far if zone(n) == zone(new) or zone(n) is None else max(far, APART))}
         # who was not heard for longest: another may only be on its way back
-        return min(old, key=lambda n: (self.ways[n].heard if n in self.ways else -1, n)) if old else ''
+        return min(old, key=lambda n: (old[n], n)) if old else ''
 
     def _sync_ways(self):
         s = self.seat
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -236,4 +236,4 @@
     finally:
         ends = s.down()
     logs = {n: (tmp_path / f'{n}.log').read_text() for n in ends}
-    assert set(ends.values()) == {0} and all('"event": "left"' in t and 'inner_fault' not in t for t in logs.values()), logs
+    assert set(ends.values()) == {0} and all('"event": "left"' in t and 'inner_fault' not in t for t in logs.values()), [x for t in logs.values() for x in t.splitlines() if 'error' in x]
--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -178,6 +178,7 @@
     for n in f.core:
         for g in ('core', 'commons'):
             f.chair(n, g).seat.cfg = type(VIEW)(keep_log=150, chunk=20000, lost_ratio=5.0)
+    f._host('t9', 'trellis', f.w.hosts[s.old].node.b.zone, LINK, VIEW, '', {})
     f.w.kill(s.old)
     f.w.run(f.w.t + 1500)
     s.start('t9')
