--- a/asterwharf/fleet/scale.py
+++ b/asterwharf/fleet/scale.py
@@ -294,15 +294,17 @@
 
     def roles(self):
         """Cores used over time: each core node, all edges, all hollow processes."""
-        by, out = defaultdict(list), defaultdict(lambda: defaultdict(float))
+        by, out = defaultdict(list), defaultdict(dict)
         for s in self.samples:
             by[s[1]].append(s)
         for n, ss in by.items():
-            k = n if n in self.procs.core else self.procs.roles[n]
+            k, sec = n if n in self.procs.core else self.procs.roles[n], defaultdict(list)
             for a, b in zip(ss, ss[4:]):
                 # a process that was started again counts from nought
                 if b[0] > a[0] and b[2] >= a[2]:
-                    out[k][(b[0] - self.t0) // 1000] = round(out[k][(b[0] - self.t0) // 1000] + (b[2] - a[2]) * 1000 / (b[0] - a[0]) / 2, 3)
+                    sec[(b[0] - self.t0) // 1000].append((b[2] - a[2]) * 1000 / (b[0] - a[0]))
+            for t, vs in sec.items():
+                out[k][t] = round(out[k].get(t, 0) + sum(vs) / len(vs), 3)
         return {k: sorted(v.items()) for k, v in sorted(out.items())}
 
 
--- a/asterwharf/orchard/mover.py
+++ b/asterwharf/orchard/mover.py
@@ -113,17 +113,35 @@
             if s.together or s.lasts or key in done or going + n >= PUSHES or self.placer.waited(s) < s.job.aim * PUSH:
                 continue
             done.add(key)
-            # as many minions as it has tasks left over, less what is being freed already
-            for _ in range(max(0, min(s.ready, PUSHES - going - n))):
+            # what is being stopped already makes room for some of its tasks
+            want = s.ready - self._coming(s, stops)
+            while want > 0 and going + n < PUSHES:
                 got = self._victims(s, stops)
                 if got is None:
                     break
-                for t in got:
+                runs, fit = got
+                for t in runs:
                     self._stop(t, stops, 'pushed')
-                n += len(got)
+                n, want = n + len(runs), want - fit
+
+    def _coming(self, s, stops):
+        """How many tasks of a step fit where runs are being stopped, once these have ended."""
+        out = 0
+        for mid, box in self.mac.on.items():
+            l = self.tender.links.get(mid)
+            gone = [t.step.need for k, t in box.items() if t.stop or k in stops]
+            if l is not None and gone and l.group == s.job.group and (not s.label or s.label in l.labels):
+                out += self._fit(s, mid, l, gone)
+        return out
+
+    def _fit(self, s, mid, l, gone):
+        """How many tasks of a step fit on a minion without the runs that need `gone`."""
+        used = self.mac.used.get(mid, (0, 0, 0))
+        free = [r - u + sum(g[i] for g in gone) for i, (r, u) in enumerate(zip(l.room, used))]
+        return int(min([f // d for f, d in zip(free, s.need) if d] or [1]))
 
     def _victims(self, s, stops):
-        """The cheapest runs of lesser work whose end makes room for a task of this step on one minion."""
+        """The cheapest runs of lesser work whose end makes room on one minion, and for how many of the step; or None."""
         best, most = None, (s.need[0] / 1000 + s.need[2] * 8) * max(s.estimate, 100) * PRICE
         for mid, l in self.tender.links.items():
             if l.group != s.job.group or not self.tender.open(l) or (s.label and s.label not in l.labels):
@@ -150,7 +168,10 @@
                 continue
             if got and all(f >= d for f, d in zip(free, s.need)) and (best is None or (cost, mid) < best[:2]):
                 best = cost, mid, got
-        return best[2] if best else None
+        if best is None:
+            return None
+        _, mid, got = best
+        return got, max(1, self._fit(s, mid, self.tender.links[mid], [t.step.need for t in got]))
 
     def _cost(self, t, p):
         """Core milliseconds lost, about; what is saved is not lost."""
