--- a/asterwharf/orchard/mover.py
+++ b/asterwharf/orchard/mover.py
@@ -11,6 +11,8 @@
 PUSH = 0.4
 # stops on their way for urgent work, at most; work thrown away for each unit of urgent work, at most
 PUSHES, PRICE = 6, 0.5
+# tasks whose pushes are remembered
+KEPT = 4000
 # a run is moved where it would take so many times longer to let it be
 GAIN = 1.5
 
@@ -18,11 +20,13 @@
 class Mover(Controller):
     """At the holder of the cell."""
 
-    __slots__ = ('cell', 'due', 'health', 'placer', 'tender')
+    __slots__ = ('cell', 'due', 'health', 'placer', 'pushed', 'tender')
 
     def __init__(self, b, cell, tender, health, placer):
         super().__init__(b)
         self.cell, self.tender, self.health, self.placer, self.due = cell, tender, health, placer, 0
+        # task -> how often it was pushed out: the same one does not make room for everybody
+        self.pushed = {}
 
     @property
     def mac(self):
@@ -122,6 +126,9 @@
                 runs, fit = got
                 for t in runs:
                     self._stop(t, stops, 'pushed')
+                    self.pushed[t.key] = self.pushed.get(t.key, 0) + 1
+                    if len(self.pushed) > KEPT:
+                        del self.pushed[next(iter(self.pushed))]
                 n, want = n + len(runs), want - fit
 
     def _coming(self, s, stops):
@@ -179,4 +186,5 @@
         if t.step.saves:
             ms = min(ms, self.b.set.call.checkpoint_ms / 2)
         c, _, g = t.step.need
-        return ms * (c / 1000 + g * 8)
+        # what was pushed out before pays for it once more, so that another is found first
+        return ms * (c / 1000 + g * 8) * 4 ** self.pushed.get(t.key, 0)
--- /dev/null
+++ b/tests/test_orchard_moves.py
@@ -0,0 +1,251 @@
+"""What the cell of called-in minions does beside placing: pushes, moves, kept room, holds, beats. Found on the platform."""
+
+import pytest
+
+from yard_cell import QUEUES, A, B, C, Cell
+
+LONG = {'estimate_ms': 60000}
+
+
+def fleet(*mids, cpu=4000, **st):
+    c = Cell(QUEUES, **st)
+    for m in mids:
+        c.minion(m, cpu=cpu)
+    return c
+
+
+def where(c, job):
+    return {k: m for m in c.minions for k in c.on(m) if k.startswith(job)}
+
+
+def count(c, what):
+    return c.b.count[what]
+
+
+# --- pushes
+def test_one_stopped_run_makes_room_for_several_and_no_more_are_stopped():
+    c = fleet('m1', 'm2', 'm3')
+    c.submit(A, steps=[{'count': 3, 'cpu': 4000, **LONG}])
+    c.go(600)
+    c.submit(B, 'quick', steps=[{'count': 4, 'cpu': 1000, **LONG}])
+    assert c.until(lambda: count(c, 'moved.pushed'))
+    # while its end is not told yet, what it will free is counted on
+    c.mute = {'m1', 'm2', 'm3'}
+    c.go(900)
+    assert count(c, 'moved.pushed') == 1
+    c.mute = set()
+    c.go(3000)
+    assert len(where(c, B)) == 4 and len(set(where(c, B).values())) == 1
+    assert len(where(c, A)) == 2 and count(c, 'moved.pushed') == 1
+
+
+def test_work_that_lasts_is_never_pushed_out():
+    c = fleet('m1')
+    c.submit(A, steps=[{'count': 1, 'cpu': 4000, 'lasts': True}])
+    c.go(600)
+    c.submit(B, 'quick', steps=[{'count': 1, 'cpu': 4000, **LONG}])
+    c.go(3000)
+    assert where(c, A) and not where(c, B) and not count(c, 'moved.pushed')
+
+
+def test_a_push_must_not_throw_more_away_than_it_wins():
+    c = fleet('m1')
+    c.submit(A, steps=[{'count': 1, 'cpu': 4000, **LONG}])
+    c.go(4000)
+    # four seconds of four cores are lost, for a tenth of a second of one
+    c.submit(B, 'quick', steps=[{'count': 1, 'cpu': 1000, 'estimate_ms': 100}])
+    c.go(1000)
+    assert where(c, A) and not count(c, 'moved.pushed')
+
+
+def test_the_same_run_does_not_make_room_for_everybody():
+    c = fleet('m1', 'm2')
+    c.submit(A, steps=[{'count': 2, 'cpu': 4000, **LONG}])
+    c.go(600)
+    seen = []
+    for jid in (B, C):
+        c.submit(jid, 'quick', steps=[{'count': 1, 'cpu': 4000, **LONG}])
+        c.go(1500)
+        seen.append(next(iter(where(c, jid).values())))
+        task = next(iter(where(c, jid)))
+        c.minions[seen[-1]].end(task)
+        c.go(1500)
+    assert count(c, 'moved.pushed') == 2 and seen[0] != seen[1]
+
+
+# --- pace
+def test_a_run_that_stands_still_goes_elsewhere():
+    c = fleet('m1')
+    c.submit(A, steps=[{'count': 1, 'cpu': 1000, 'estimate_ms': 1000}])
+    c.go(200)
+    task = next(iter(where(c, A)))
+    c.minions['m1'].rates[task] = 0
+    c.minion('m2').rates[task] = 20
+    c.go(3500)
+    assert where(c, A)[task] == 'm2' and count(c, 'moved.still') == 1 and 'm1' in c.placer.health.until
+
+
+def test_silence_of_the_minion_is_no_standing_still():
+    c = fleet('m1', 'm2')
+    c.submit(A, steps=[{'count': 1, 'cpu': 1000, 'estimate_ms': 1000}])
+    c.go(400)
+    c.mute = {'m1', 'm2'}
+    c.go(2500)
+    assert not count(c, 'moved.still')
+
+
+def test_work_that_is_slow_by_itself_is_moved_once_and_then_let_be():
+    c = fleet('m1', 'm2')
+    c.submit(A, steps=[{'count': 1, 'cpu': 1000, 'estimate_ms': 400}])
+    # five percent a second: twenty seconds, fifty times the estimate, wherever it runs
+    c.go(12000)
+    assert count(c, 'moved.crawling') <= 1 and where(c, A)
+
+
+def test_work_that_crawls_on_one_minion_only_is_moved_from_it():
+    c = fleet('m1', 'm2', cpu=3000)
+    c.submit(A, steps=[{'count': 4, 'cpu': 1000, 'estimate_ms': 4000}])
+    c.go(100)
+    slow = [t for t, m in where(c, A).items() if m == 'm2']
+    for m in c.minions.values():
+        m.rates = {t: 4 if t in slow else 25 for t in where(c, A)}
+    assert slow
+    c.minion('m3').rates = {t: 25 for t in where(c, A)}
+    c.go(2500)
+    assert count(c, 'moved.crawling') >= 1 and not [t for t, m in where(c, A).items() if m == 'm2']
+
+
+# --- room
+def test_room_is_kept_for_a_gang_that_waits_for_its_rack():
+    c = Cell(QUEUES)
+    for m in ('m1', 'm2'):
+        c.minion(m, rack='r1')
+    c.submit(A, steps=[{'count': 1, 'cpu': 3000, **LONG}])
+    c.go(300)
+    c.submit(B, steps=[{'count': 2, 'cpu': 4000, 'together': True, 'one_rack': True, **LONG}])
+    c.go(1500)
+    # small work that came later leaves the rack alone
+    c.submit(C, steps=[{'count': 1, 'cpu': 1000, **LONG}])
+    c.go(500)
+    assert not where(c, C) and count(c, 'room.kept')
+    task, mid = next(iter(where(c, A).items()))
+    c.minions[mid].end(task)
+    c.go(1000)
+    assert len(where(c, B)) == 2
+
+
+def test_work_does_not_wait_for_a_rack_that_could_never_hold_it():
+    c = Cell(QUEUES)
+    c.minion('m1', rack='r1', cpu=1000)
+    c.minion('m2', rack='r2')
+    c.submit(A, steps=[{'count': 1, 'cpu': 2000, 'near': 'r1', **LONG}])
+    c.go(300)
+    assert list(where(c, A).values()) == ['m2']
+
+
+def test_work_waits_for_the_rack_of_its_data_but_not_for_long():
+    c = Cell(QUEUES)
+    c.minion('m1', rack='r1')
+    c.submit(A, steps=[{'count': 1, 'cpu': 4000, **LONG}])
+    c.go(300)
+    c.minion('m2', rack='r2')
+    c.submit(B, steps=[{'count': 1, 'cpu': 1000, 'near': 'r1', **LONG}])
+    c.go(1000)
+    assert not where(c, B)
+    c.go(2000)
+    assert list(where(c, B).values()) == ['m2']
+
+
+def test_a_task_is_tried_again_where_it_failed_when_there_is_nowhere_else():
+    c = fleet('m1')
+    c.submit(A, steps=[{'count': 1, 'cpu': 1000}])
+    c.go(200)
+    c.minions['m1'].end(next(iter(where(c, A))), 'refused')
+    c.go(600)
+    assert where(c, A)
+
+
+# --- holds
+def test_a_silent_minions_run_is_given_up_only_when_its_hold_has_run_out():
+    c = fleet('m1', 'm2')
+    c.submit(A, steps=[{'count': 1, 'cpu': 1000, **LONG}])
+    c.go(300)
+    task, mid = next(iter(where(c, A).items()))
+    c.mute = {mid}
+    last = c.tender.links[mid].lapse
+    assert last >= c.tender.links[mid].recv + c.b.set.call.hold_ms / 0.98
+    c.go(last - c.now - 60)
+    # each run has a timer of its own, and none has run out
+    assert c.tender.links[mid].timers == {task: (1, last)} and where(c, A) == {task: mid}
+    c.go(1500)
+    assert where(c, A)[task] != mid and c.cell.mac.task(task).run == 2
+
+
+def test_a_beat_in_time_cancels_the_timers():
+    c = fleet('m1', 'm2')
+    c.submit(A, steps=[{'count': 1, 'cpu': 1000, **LONG}])
+    c.go(300)
+    task, mid = next(iter(where(c, A).items()))
+    c.mute = {mid}
+    c.go(3300)
+    assert c.tender.links[mid].timers
+    c.mute = set()
+    c.go(3000)
+    assert where(c, A) == {task: mid} and not c.tender.links[mid].timers and c.b.count['gaps'] == 1
+
+
+def test_what_is_being_given_up_is_not_told_again():
+    c = fleet('m1')
+    c.submit(A, steps=[{'count': 1, 'cpu': 1000, **LONG}])
+    c.go(300)
+    task = next(iter(where(c, A)))
+    l = c.tender.links['m1']
+    # the start was lost on the way, and a change that gives it up is under way
+    l.running, l.held, l.gave = {}, {}, {task: 1}
+    assert c.tender._orders(l)[0] == []
+    l.gave = {}
+    assert [s[:2] for s in c.tender._orders(l)[0]] == [[task, 1]]
+
+
+def test_a_minion_hears_of_no_start_once_it_drains():
+    c = fleet('m1')
+    c.mute = {'m1'}
+    c.go(200)
+    c.submit(A, steps=[{'count': 1, 'cpu': 1000, **LONG}])
+    c.minions['m1'].fix['state'] = 'draining'
+    c.mute = set()
+    c.go(600)
+    assert not c.minions['m1'].runs and not where(c, A)
+
+
+def test_what_was_placed_before_a_minion_drains_and_not_told_yet_never_begins():
+    c = fleet('m1')
+    c.submit(A, steps=[{'count': 1, 'cpu': 1000, **LONG}])
+    c.go(300)
+    task = next(iter(where(c, A)))
+    l = c.tender.links['m1']
+    l.running, l.held, l.drain = {}, {}, c.now
+    start, _, never = c.tender._orders(l)
+    assert not start and [(i['task'], i['run'], i['how']) for i in never] == [(task, 1, 'never')]
+
+
+# --- beats
+@pytest.mark.parametrize('pct, want', [(50, 0), (90, 0), (0, 1)])
+def test_a_beat_waits_until_just_before_an_end_is_due(pct, want):
+    c = fleet('m1')
+    l = c.tender.links['m1']
+    l.running = {'x': (1, '', pct)}
+    # a run of a second, seen from its beginning
+    l.prog = {'x': (c.now - 10 * pct, 0, c.now, pct, 1)}
+    wait = c.tender._wait(l, c.now)
+    if want:
+        assert wait == 120
+    else:
+        assert wait == max(0, 10 * (100 - pct) - 40)
+
+
+def test_an_overdue_run_is_not_asked_for_any_faster():
+    c = fleet('m1')
+    l = c.tender.links['m1']
+    l.running, l.prog = {'x': (1, '', 90)}, {'x': (c.now - 5000, 0, c.now - 3000, 90, 1)}
+    assert c.tender._wait(l, c.now) == 120
