Trust no list about an earlier holder's runs; take back what was never told; bound what room is kept

A beat that lay in a cut connection could reach a new holder after the old one had told a start; the run was not in the list and was given up while the minion ran it. Runs on record when a view begins are now settled by a listing, an end, or the last hold's end only. 2. A start placed on a minion that died before it was told waited for the hold to lapse. 3. A gang with a data rack too small for it was never placed; room was kept for one gang while less than half was in use, and held up others. 4. Ruled out: label and capacity checks. Tests: tests/test_orchard_moves.py; each break of the code seen.

--- a/asterwharf/orchard/rooms.py
+++ b/asterwharf/orchard/rooms.py
@@ -1,9 +1,10 @@
 """The room that minions have while a decision is made, and which of it a step may take. Pure."""
 
-# of the bound on a new configuration's effect in a cell, the longest that work waits for the rack that suits it, ms
-PATIENCE = 3.0
-# of the silence bound: how long a step that needs much room at once has waited until room is kept for it
-KEEP = 0.5
+# of the silence bound: the longest that work waits for the rack that suits it, and how long a step that needs
+# much room at once has waited until room is kept for it
+PATIENCE, KEEP = 2.5, 0.5
+# of a group's room in use: below that nobody is starved, and room kept for one only holds up others
+FULL = 0.6
 
 
 class Room:
@@ -64,11 +65,12 @@
                 n += min([want] + [int(f // d) for f, d in zip(l.room, s.need) if d])
         return n >= want
 
-    def fit(self, s, waited, racked=True):
+    def fit(self, s, waited):
         """Minions that may run a task of this step, best first."""
         ok = [r for r in self.by.get(s.job.group, ()) if r.fits(s.need) and (not s.label or s.label in r.labels)]
         ok = self.p.judge.land(s, ok)
-        if s.near and racked:
+        # a gang looks at the rack of its data by itself: its members go together
+        if s.near and not s.together:
             near = [r for r in ok if r.rack == s.near]
             # the rack of its data is worth waiting for, if it could ever take the task
             if near or (waited < self._worth(s) and self._held(s, s.near, 1)):
@@ -83,7 +85,12 @@
     def gang(self, s, waited):
         """All members at once, in one rack where that pays: [] or one bundle."""
         ok, got, want = self.fit(s, waited), None, len(s.tasks)
-        if s.one_rack:
+        wait = waited < self._worth(s)
+        if s.near:
+            got = self._whole(s, [r for r in ok if r.rack == s.near], want)
+            if got is None and wait and self._held(s, s.near, want):
+                return []
+        if s.one_rack and got is None:
             racks = {}
             for r in ok:
                 racks.setdefault(r.rack, []).append(r)
@@ -92,8 +99,7 @@
                 got = self._whole(s, racks[nam], want)
                 if got:
                     break
-            if got is None and waited < self._worth(s) and any(
-                    self._held(s, rack, want) for g, rack in self.racks if g == s.job.group):
+            if got is None and wait and any(self._held(s, rack, want) for g, rack in self.racks if g == s.job.group):
                 return []
         got = got or self._whole(s, ok, want)
         if got is None:
@@ -117,7 +123,7 @@
     def keep(self, s, waited):
         """Room is kept for what needs much of it at once and has waited: one step a group and priority at a time."""
         key = (s.job.group, s.job.prio)
-        if key in self.kept or waited < self.b.set.view.silence_ms * KEEP:
+        if key in self.kept or waited < self.b.set.view.silence_ms * KEEP or self._use(s.job.group) < FULL:
             return
         mine = [r for r in self.by.get(s.job.group, ()) if not r.kept and (not s.label or s.label in r.labels)]
         got = self._target(s, self.p.judge.land(s, mine))
@@ -127,6 +133,12 @@
             for r in got:
                 r.kept = True
 
+    def _use(self, group):
+        """How much of a group's room is in use, by what is scarcest."""
+        got = [(r.link.room, (r.cpu, r.mem, r.gpus)) for r in self.by.get(group, ())]
+        has = [sum(a[i] for a, _ in got) for i in range(3)]
+        return max([1 - sum(f[i] for _, f in got) / has[i] for i in range(3) if has[i]] or [1.0])
+
     def _target(self, s, rooms):
         """The minions to leave to it: where it comes in soonest by what is free now."""
         links = self.p.tender.links
--- a/asterwharf/orchard/tender.py
+++ b/asterwharf/orchard/tender.py
@@ -22,8 +22,9 @@
 AHEAD, LEAST = 40, 20
 # percent of progress from where a run's end can be foretold
 SEEN = 4
-# of the time between beats: silence after which a minion gets no starts, and after which its runs recover
-FRESH, SILENT = 0.8, 2.0
+# of the time between beats: silence after which a minion gets no starts, after which starts it was never told are
+# taken back, and after which its runs recover
+FRESH, OVERDUE, SILENT = 0.4, 0.5, 2.0
 # of the silence bound: how long after an answered beat was sent holds may still be given
 LEASE = 0.8
 
@@ -31,8 +32,8 @@
 class Link:
     """What the holder knows of one minion beyond what is delivered."""
 
-    __slots__ = ('answered', 'count', 'doc', 'drain', 'due', 'ended', 'gave', 'give', 'group', 'held', 'kind', 'labels', 'lapse',
-                 'leaves', 'mid', 'noted', 'noting', 'past', 'prog', 'rack', 'recv', 'room', 'running', 'state', 'timers', 'zone')
+    __slots__ = ('answered', 'bound', 'count', 'doc', 'drain', 'due', 'ended', 'gave', 'give', 'group', 'held', 'kind', 'labels', 'lapse',
+                 'leaves', 'mid', 'noted', 'noting', 'old', 'past', 'prog', 'rack', 'recv', 'room', 'running', 'state', 'timers', 'zone')
 
     def __init__(self, mid, now):
         self.mid, self.state, self.doc, self.recv, self.answered, self.count = mid, DISCONNECTED, None, now, now, -1
@@ -41,6 +42,9 @@
         self.running, self.ended, self.timers, self.held, self.gave = {}, {}, {}, {}, {}
         self.drain, self.leaves, self.group, self.zone, self.labels, self.rack, self.kind = 0, 0, '', '', (), '', ''
         self.room, self.prog, self.past = (0, 0, 0), {}, {}
+        # old: runs on record when this view began; an earlier holder may have told them after the beat that we hear,
+        # for a beat may have lain in a cut connection: until `bound` only a listing or an end settles them
+        self.old, self.bound = {}, 0
 
     def progress(self, now):
         """Follows how far each run has come, as (first seen, percent then, last step seen, percent then, run)."""
@@ -128,13 +132,17 @@
             return int(1000 * IDLE)
         soon = l.soonest(now)
         if soon is None:
-            return int(1000 * max(BUSY, len(self.links) / BEATS))
+            return self._apart()
         if soon < -AHEAD:
             # overdue: it may stand still, and is not asked any faster for that
-            return int(1000 * max(BUSY, len(self.links) / BEATS))
+            return self._apart()
         # its own ends make room: what takes it is told in the same answer
         return int(max(AHEAD if l.noting > l.noted else 0, min(1000 * IDLE, soon - AHEAD)))
 
+    def _apart(self):
+        """The wait of a busy minion of which no end can be foretold, ms: the more minions, the longer, within the second."""
+        return int(1000 * min(IDLE, max(BUSY, len(self.links) / BEATS)))
+
     def leave(self, mid, give):
         """The minion ends in good order: the link is closed on purpose."""
         if not self._acts():
@@ -189,6 +197,7 @@
         # reconciliation: what the minion says it runs needs no recovery any more
         l.timers = {}
         l.ended = {f[1]: f[2] for f in d['finished']}
+        l.old = {k: r for k, r in l.old.items() if l.running.get(k, (0,))[0] != r and l.ended.get(k) != r}
         l.held = {k: r[0] for k, r in l.running.items()}
         box = self.mac.on.get(l.mid, {})
         l.gave = {k: r for k, r in l.gave.items() if k in box and self.mac.run_of(box[k], l.mid) == r}
@@ -217,7 +226,7 @@
         """(starts, stops) to tell, and what was placed there but must not begin."""
         mac, mid = self.mac, l.mid
         start, stop, never = [], [[k, r] for k, r in self.strays(l)], []
-        no = l.drain or l.zone in self.b.atlas.emptied
+        no = l.drain or l.zone in self.b.atlas.emptied or mid in mac.drains
         for k, t in mac.on.get(mid, {}).items():
             run, rep = mac.run_of(t, mid), l.running.get(k)
             off = t.stop or t.step.job.fate
@@ -228,6 +237,8 @@
             elif l.ended.get(k) == run or l.gave.get(k) == run:
                 continue
             elif off or no:
+                if l.old.get(k) == run:
+                    continue
                 never.append({'task': k, 'run': run, 'mid': mid, 'how': 'never', 'save': ''})
             else:
                 start.append([k, run, t.step.job.payload, t.save])
@@ -307,7 +318,8 @@
         far = b.now + int((b.set.view.silence_ms + self.hold_ms) / DRIFT) + 1
         for mid in self.mac.on:
             l = self.links[mid] = Link(mid, b.now)
-            l.lapse = far
+            l.lapse = l.bound = far
+            l.old = {k: self.mac.run_of(t, mid) for k, t in self.mac.on[mid].items()}
             l.turn(RECOVERING)
             self._recover(l)
 
@@ -316,8 +328,22 @@
         mac = self.mac
         l.timers = {k: (mac.run_of(t, l.mid), l.lapse) for k, t in mac.on.get(l.mid, {}).items()}
 
+    def _untold(self, l):
+        """Takes back what was placed on a minion that has not called since: no answer ever told it, so it began nowhere."""
+        mac = self.mac
+        items = [{'task': k, 'run': mac.run_of(t, l.mid), 'mid': l.mid, 'how': 'never', 'save': ''}
+                 for k, t in mac.on.get(l.mid, {}).items() if not any(k in x for x in (l.held, l.ended, l.gave, l.old))]
+        if items and self.cell.order('y_lapse', {'at': self.cell.wall, 'items': items}):
+            l.gave.update((i['task'], i['run']) for i in items)
+            self.b.count['untold'] += len(items)
+
     def _watch(self, l):
         b, beat = self.b, self.b.set.call.beat_ms
+        if l.old and b.now >= l.bound:
+            # no hold of an earlier holder lasts any more, and ours went to what was listed
+            l.old = {}
+        if l.give is None and l.doc is not None and b.now - max(l.recv, l.answered) > beat * OVERDUE:
+            self._untold(l)
         if l.give is None and l.state in (REGISTERING, REGISTERED) and b.now - max(l.recv, l.answered) > beat * SILENT:
             l.turn(RECOVERING)
             self._recover(l)
--- a/asterwharf/scheduler/ferry.py
+++ b/asterwharf/scheduler/ferry.py
@@ -3,7 +3,7 @@
 from asterwharf.base.board import Controller
 
 # errands that change nothing may be given up on with "come again"; the others only with "unsure"
-READS = frozenset(('job', 'import', 'own', 'jobs', 'minions', 'zones', 'minion', 'claims', 'config_get', 'queues_get', 'emptied', 'nodes', 'cells', 'why', 'seats', 'history', 'judge'))
+READS = frozenset(('job', 'y_state', 'y_waiting', 'y_job', 'counts', 'import', 'own', 'jobs', 'minions', 'zones', 'minion', 'claims', 'config_get', 'queues_get', 'emptied', 'nodes', 'cells', 'why', 'seats', 'history', 'judge'))
 
 
 # refusals that another holder might not have given
--- a/asterwharf/scheduler/policy.py
+++ b/asterwharf/scheduler/policy.py
@@ -1,7 +1,5 @@
 """Placement policies: CEL programs, compiled once per configuration, judged per class of case. Pure."""
 
-import celpy
-from celpy.adapter import json_to_cel
 from expression import Error, Ok
 
 SIZE = 2000
@@ -10,8 +8,9 @@
 
 
 def _env():
-    # one environment: making it parses CEL's own grammar
+    # one environment: making it parses CEL's own grammar; the library is large, and only read where there are policies
     if not _ENV:
+        import celpy
         _ENV.append(celpy.Environment())
     return _ENV[0]
 
@@ -33,6 +32,7 @@
         key = (id(prg), repr(wld))
         if key in self.cache:
             return self.cache[key]
+        from celpy.adapter import json_to_cel
         try:
             out = prg.evaluate({k: json_to_cel(v) for k, v in wld.items()})
         except Exception:
@@ -70,7 +70,8 @@
             return 0.0
 
     def _as_bool(self, val):
-        if isinstance(val, celpy.celtypes.BoolType):
+        from celpy.celtypes import BoolType
+        if isinstance(val, BoolType):
             return bool(val)
         if val is not False:
             self.troubles += 1
--- a/asterwharf/fleet/hollow.py
+++ b/bench/scale/hollow.py
@@ -1,6 +1,6 @@
 """Hollow minions: some hundreds in one process, which beat, hold, run and end as real ones, with tasks that only pass time.
 
-`python -m asterwharf.fleet.hollow FILE`, FILE a JSON object made by `scale_procs`. Every start and end is logged.
+`python -m bench.scale.hollow FILE`, FILE a JSON object made by `scale_procs`. Every start and end is logged.
 """
 
 import json
@@ -11,7 +11,7 @@
 from collections import Counter
 
 from asterwharf.clock.boot import boot_ms
-from asterwharf.fleet.hollow_wire import Datagrams, Wire
+from bench.scale.hollow_wire import Datagrams, Wire
 
 # ms: after which an answer is dropped; between an end and the next beat; the shortest and the longest pause after a failure
 ANSWER, SOON, PAUSE, PAUSES = 1000, 50, 60, 1000
--- a/asterwharf/fleet/hollow_clients.py
+++ b/bench/scale/hollow_clients.py
@@ -1,6 +1,6 @@
 """Hollow clients: jobs of all teams at a rate that the scale run sets, whoever waits; sent again until they are kept.
 
-`python -m asterwharf.fleet.hollow_clients FILE`, FILE a JSON object made by `scale_procs`.
+`python -m bench.scale.hollow_clients FILE`, FILE a JSON object made by `scale_procs`.
 """
 
 import json
@@ -11,7 +11,7 @@
 from collections import Counter
 
 from asterwharf.clock.boot import boot_ms
-from asterwharf.fleet.hollow_wire import Datagrams, Wire
+from bench.scale.hollow_wire import Datagrams, Wire
 
 # kind: (share of all starts, tasks of each step, whether they work together)
 MIX = {'urgent': (0.05, (3,), False), 'plain': (0.65, (8,), False), 'chain': (0.2, (4, 8), False), 'gang': (0.1, (), True)}
--- a/asterwharf/fleet/scale.py
+++ b/bench/scale/scale.py
@@ -10,9 +10,9 @@
 from pathlib import Path
 
 from asterwharf.clock.boot import boot_ms
-from asterwharf.fleet.hollow_clients import MIX, URGENT
-from asterwharf.fleet.scale_procs import BOUNDS, GROUPS, REGIONS, Procs
-from asterwharf.fleet.scale_report import Rows, plots, stats, use
+from bench.scale.hollow_clients import MIX, URGENT
+from bench.scale.scale_procs import BOUNDS, GROUPS, REGIONS, ROOT, Procs
+from bench.scale.scale_report import Rows, plots, stats, use
 from asterwharf.sickle.ask import one
 
 # of the run: how long the faults take, of which each begins with a calm part, and how long nothing new comes at the end
@@ -311,9 +311,10 @@
 def head():
     """The commit of the sources, with + where they were changed since; empty outside of a checkout."""
     try:
-        at = ['git', '-C', str(Path(__file__).parent)]
+        at = ['git', '-C', str(ROOT)]
         got = subprocess.run([*at, 'rev-parse', '--short', 'HEAD'], capture_output=True, text=True, check=True).stdout.strip()
-        new = subprocess.run([*at, 'status', '--porcelain', '-uno', '--', '..', '../../platform'], capture_output=True, text=True)
+        new = subprocess.run([*at, 'status', '--porcelain', '-uno', '--', 'asterwharf', 'platform', 'bench/scale'],
+                             capture_output=True, text=True)
         return got + ('+' if new.stdout.strip() else '')
     except (OSError, subprocess.CalledProcessError):
         return ''
--- a/asterwharf/fleet/scale_entry.py
+++ b/bench/scale/scale_entry.py
@@ -1,6 +1,6 @@
 """Starts one of the platform's programs as `platform/start.py` does, watched: bytes sent, turns, a profile, cuts by a file.
 
-`python -m asterwharf.fleet.scale_entry START ROLE FOLDER [profile]`; in FOLDER: NAME.stats, NAME.cuts, NAME.prof.
+`python -m bench.scale.scale_entry START ROLE FOLDER [profile]`; in FOLDER: NAME.stats, NAME.cuts, NAME.prof.
 """
 
 import cProfile
--- a/asterwharf/fleet/scale_procs.py
+++ b/bench/scale/scale_procs.py
@@ -14,7 +14,8 @@
 from asterwharf.clock.boot import boot_ms
 from asterwharf.sickle.ask import one
 
-START = Path(__file__).parent.parent.parent / 'platform/start.py'
+ROOT = Path(__file__).parent.parent.parent
+START = ROOT / 'platform/start.py'
 REGIONS, ZONES, GROUPS = 3, 11, 3
 CONTROL, FRONT, READY, INNER, PEER = 18166, 18161, 18167, 17720, 19000
 HZ = os.sysconf('SC_CLK_TCK')
@@ -95,14 +96,14 @@
     def _spawn(self, n, role, args, env=None):
         with open(self.dir / f'{n}.log', 'ab') as log:
             p = subprocess.Popen([sys.executable, '-m', *args], stdout=log, stderr=log, stdin=subprocess.DEVNULL,
-                                 env=dict(os.environ, PYTHONPATH=str(START.parent.parent), **(env or {})))
+                                 env=dict(os.environ, PYTHONPATH=str(ROOT), **(env or {})))
         self.live[n], self.roles[n] = p, role
         return p
 
     def node(self, n, first=False):
         role = 'trellis' if n in self.core else 'furrow'
         more = ['profile'] if self.profile and role == 'trellis' else []
-        self._spawn(n, role, ['asterwharf.fleet.scale_entry', str(START), role, str(self.dir), *more],
+        self._spawn(n, role, ['bench.scale.scale_entry', str(START), role, str(self.dir), *more],
                     {'ASTERWHARF_CONFIG': self.settings(n, first)})
 
     def hollow(self, work_ms, queues):
--- a/tests/test_orchard_moves.py
+++ b/tests/test_orchard_moves.py
@@ -120,7 +120,7 @@
     c = Cell(QUEUES)
     for m in ('m1', 'm2'):
         c.minion(m, rack='r1')
-    c.submit(A, steps=[{'count': 1, 'cpu': 3000, **LONG}])
+    c.submit(A, steps=[{'count': 2, 'cpu': 2500, **LONG}])
     c.go(300)
     c.submit(B, steps=[{'count': 2, 'cpu': 4000, 'together': True, 'one_rack': True, **LONG}])
     c.go(1500)
@@ -128,12 +128,66 @@
     c.submit(C, steps=[{'count': 1, 'cpu': 1000, **LONG}])
     c.go(500)
     assert not where(c, C) and count(c, 'room.kept')
-    task, mid = next(iter(where(c, A).items()))
-    c.minions[mid].end(task)
+    for task, mid in where(c, A).items():
+        c.minions[mid].end(task)
     c.go(1000)
     assert len(where(c, B)) == 2
 
 
+def test_no_room_is_kept_while_much_of_it_is_free():
+    c = Cell(QUEUES)
+    for m in ('m1', 'm2', 'm3', 'm4'):
+        c.minion(m, rack='r1')
+    c.submit(A, steps=[{'count': 1, 'cpu': 3000, **LONG}])
+    c.go(300)
+    c.submit(B, steps=[{'count': 4, 'cpu': 4000, 'together': True, 'one_rack': True, **LONG}])
+    c.go(1500)
+    assert not count(c, 'room.kept')
+    c.submit(C, steps=[{'count': 3, 'cpu': 4000, **LONG}])
+    c.go(500)
+    assert len(where(c, C)) == 3
+
+
+def test_a_gang_that_its_datas_rack_cannot_take_goes_elsewhere():
+    c = Cell(QUEUES)
+    for m, rack in (('m1', 'r1'), ('m2', 'r2'), ('m3', 'r2')):
+        c.minion(m, rack=rack)
+    c.submit(A, steps=[{'count': 2, 'cpu': 4000, 'near': 'r1', 'together': True, **LONG}])
+    c.go(400)
+    assert len(where(c, A)) == 2
+    # where the rack could take it, that is waited for, within bounds
+    c = Cell(QUEUES)
+    for m, rack in (('m1', 'r1'), ('m2', 'r1'), ('m3', 'r2'), ('m4', 'r2')):
+        c.minion(m, rack=rack)
+    c.submit(A, steps=[{'count': 1, 'cpu': 4000, 'near': 'r1', **LONG}])
+    c.go(300)
+    c.submit(B, steps=[{'count': 2, 'cpu': 3000, 'near': 'r1', 'together': True, **LONG}])
+    c.go(1000)
+    assert not where(c, B)
+    c.go(1500)
+    assert set(where(c, B).values()) == {'m3', 'm4'}
+
+
+def test_what_was_placed_on_a_minion_that_died_before_it_was_told_goes_elsewhere_without_its_hold():
+    c = fleet('m1')
+    c.mute = {'m1'}
+    # its last beat is answered, and it never calls again
+    c.tender.links['m1'].due = 0
+    c.tender.look.add('m1')
+    c.go(40)
+    assert c.tender.links['m1'].give is None
+    c.submit(A, steps=[{'count': 1, 'cpu': 1000, **LONG}])
+    c.go(60)
+    assert list(where(c, A).values()) == ['m1']
+    c.minion('m2')
+    c.go(1500)
+    assert list(where(c, A).values()) == ['m2'] and count(c, 'untold') == 1
+    # back after all, it is not told what went elsewhere
+    c.mute = set()
+    c.go(600)
+    assert not c.minions['m1'].runs
+
+
 def test_work_does_not_wait_for_a_rack_that_could_never_hold_it():
     c = Cell(QUEUES)
     c.minion('m1', rack='r1', cpu=1000)
@@ -249,3 +303,71 @@
     l = c.tender.links['m1']
     l.running, l.prog = {'x': (1, '', 90)}, {'x': (c.now - 5000, 0, c.now - 3000, 90, 1)}
     assert c.tender._wait(l, c.now) == 120
+
+
+def test_however_many_minions_call_no_answer_comes_after_the_second_it_is_worth():
+    c = fleet('m1')
+    l = c.tender.links['m1']
+    l.running, l.prog = {'x': (1, '', 0)}, {'x': (c.now, 0, c.now, 0, 1)}
+    c.tender.links = dict.fromkeys(range(5000), l)
+    assert c.tender._wait(l, c.now) == 700
+
+
+def again(c):
+    """The process begins anew: another view, and nothing known of what the last one told."""
+    c.build()
+    assert c.until(lambda: c.cell.takes and c.core.takes and c.tender.term > 0)
+
+
+def stale(c, mid, **kws):
+    """A beat that lay in a cut connection while an earlier holder told the start."""
+    m = c.minions[mid]
+    c.tender.beat(mid, dict(m.fix, count=m.count - 1, running=[], finished=[]) | kws, lambda *a: None)
+    c.turn()
+
+
+@pytest.mark.parametrize('state', ['ready', 'draining'])
+def test_a_beat_that_was_held_up_gives_no_run_of_an_earlier_holder_up(state):
+    c = fleet('m1', 'm2')
+    c.submit(A, steps=[{'count': 1, 'cpu': 1000, **LONG}])
+    c.go(300)
+    task, mid = next(iter(where(c, A).items()))
+    c.mute = {'m1', 'm2'}
+    again(c)
+    l = c.tender.links[mid]
+    stale(c, mid, state=state)
+    c.mute = {mid}
+    # it runs there, held by the earlier holder, and must start nowhere else
+    c.go(l.bound - c.now - 60)
+    assert where(c, A) == {task: mid}
+    c.go(4000)
+    if state == 'draining':
+        assert where(c, A)[task] != mid and c.cell.mac.task(task).run == 2
+
+
+def test_a_fresh_beat_settles_what_an_earlier_holder_told():
+    c = fleet('m1')
+    c.submit(A, steps=[{'count': 1, 'cpu': 1000, **LONG}])
+    c.go(300)
+    c.mute = {'m1'}
+    again(c)
+    assert c.tender.links['m1'].old
+    c.mute = set()
+    c.minions['m1'].wait = 0
+    c.go(200)
+    assert not c.tender.links['m1'].old and where(c, A) and not c.tender.links['m1'].timers
+
+
+def test_what_an_earlier_holder_placed_and_nobody_lists_is_given_up_when_its_holds_have_run_out():
+    c = fleet('m1', 'm2')
+    c.submit(A, steps=[{'count': 1, 'cpu': 1000, **LONG}])
+    c.go(300)
+    task, mid = next(iter(where(c, A).items()))
+    again(c)
+    l, m = c.tender.links[mid], c.minions[mid]
+    # it never began there, and the minion drains: no start may be told any more
+    m.runs, m.wait, m.fix['state'] = {}, 0, 'draining'
+    c.go(l.bound - c.now - 60)
+    assert where(c, A) == {task: mid}
+    c.go(1000)
+    assert where(c, A)[task] != mid
--- a/tests/test_orchard_policy.py
+++ b/tests/test_orchard_policy.py
@@ -77,23 +77,23 @@
 
 # --- placing
 def test_a_policy_forbids_a_rack():
-    c = fleet(doc(q='p', p={'may_land': "minion.rack != 'r1'"}), R1, R2)
-    c.submit(A, steps=[{'count': 8, 'cpu': 1000}])
+    c = fleet(doc(quick='p', p={'may_land': "minion.rack != 'r1'"}), R1, R2)
+    c.submit(A, 'quick', steps=[{'count': 8, 'cpu': 1000}])
     c.go(2000)
     assert len(c.on('m2')) == 4 and not c.on('m1')
-    # a queue without a policy is not held by it, also where it asks for as much
-    c.submit(B, 'quick', steps=[{'count': 8, 'cpu': 1000}])
+    # a queue without a policy is not held by it, also where it asks for as much and comes later
+    c.submit(B, steps=[{'count': 8, 'cpu': 1000}])
     c.go(1500)
     assert c.on('m1') == [f'{B}.0.0.{i}' for i in range(4)]
 
 
 def test_what_may_land_nowhere_says_so_and_takes_no_room():
-    c = fleet(doc(q='p', p={'may_land': "minion.zone == 'z9'"}), R1, R2)
-    c.submit(A, steps=[{'count': 1, 'cpu': 4000}])
+    c = fleet(doc(quick='p', p={'may_land': "minion.zone == 'z9'"}), R1, R2)
+    c.submit(A, 'quick', steps=[{'count': 1, 'cpu': 4000}])
     c.go(3000)
-    assert c.job()['why'] == 'its policy lets it land on no minion'
+    assert c.job(A, 'quick')['why'] == 'its policy lets it land on no minion'
     # nothing is kept free for it
-    c.submit(B, 'quick', steps=[{'count': 2, 'cpu': 4000}])
+    c.submit(B, steps=[{'count': 2, 'cpu': 4000}])
     c.go(1500)
     assert c.on('m1') and c.on('m2')
 
@@ -161,7 +161,18 @@
     assert urgent('p', p={'may_evict': f"victim.queue == 'q' && victim.priority > task.priority && minion.rack == '{rack}'"})[0][B] == mid
     assert B not in urgent('p', p={'may_evict': "victim.queue == 'other'"})[0]
     # nothing is pushed out where the task may not land
-    assert urgent('p', p={'may_land': f"minion.rack == '{rack}'"})[0][B] == mid
+    on, c = urgent('p', p={'may_land': f"minion.rack == '{rack}'"})
+    assert on[B] == mid and c.b.count['moved.pushed'] == 1
+
+
+def test_nothing_is_pushed_out_of_a_drained_minion():
+    c = fleet(QUEUES, R1)
+    c.submit(A, steps=[{'count': 1, 'cpu': 4000, 'estimate_ms': 100000}])
+    c.go(800)
+    c.ask('drain', minion='m1', on=True)
+    c.submit(B, 'quick', steps=[{'count': 1, 'cpu': 4000, 'estimate_ms': 60000}])
+    c.go(5000)
+    assert c.on('m1') == [f'{A}.0.0.0'] and not c.b.count['moved.pushed']
 
 
 def test_trouble_in_a_program_is_a_no_and_is_counted():
@@ -214,12 +225,15 @@
 def test_a_decision_judges_so_many_new_cases_and_the_next_goes_on(monkeypatch):
     monkeypatch.setattr(policy, 'MOST', 2)
     c = fleet(doc(q='p', p={'may_land': "minion.rack == 'r9'"}), *({'mid': f'm{i}', 'rack': f'r{i}'} for i in range(10)))
+    # nothing else gives cause to look
+    c.mute.update(c.minions)
     c.submit(A)
     seen = [c.b.count['policy.judged']]
-    for _ in range(40):
+    # turn after turn, not only when it would look again by itself
+    for _ in range(8):
         c.go(20)
         seen.append(c.b.count['policy.judged'])
-    assert c.on('m9') and seen[-1] == 10 and all(b - a <= 2 for a, b in zip(seen, seen[1:]))
+    assert c.on('m9') and seen[:6] == [2, 4, 6, 8, 10, 10]
 
 
 def test_what_is_remembered_is_bounded(monkeypatch):
@@ -288,3 +302,10 @@
     txt = (Path(__file__).parent.parent / 'docs/design/policies.md').read_text()
     for f in {*policy.TASK, *policy.MINION}:
         assert f'`{f}`' in txt, f
+
+
+def test_the_language_of_policies_is_not_read_where_there_are_none():
+    # start-up time and memory are priced: the library is for those who write policies
+    src = ('import sys; from asterwharf.orchard import node; import asterwharf.wire.kinds\n'
+           'sys.exit("celpy" in sys.modules)')
+    assert subprocess.run([sys.executable, '-c', src], cwd=Path(__file__).parent.parent).returncode == 0
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -2,16 +2,20 @@
 
 import json
 import random
+import subprocess
+import sys
 from collections import Counter
+from pathlib import Path
 from types import SimpleNamespace
 
 import pytest
 
-from asterwharf.fleet import hollow
-from asterwharf.fleet.scale import Scale, reached
-from asterwharf.fleet.scale_procs import Procs, Size
-from asterwharf.fleet.scale_report import Rows, pct, use
+from bench.scale import hollow
+from bench.scale.scale import Scale, reached
+from bench.scale.scale_procs import Procs, Size
+from bench.scale.scale_report import Rows, pct, use
 
+ROOT = Path(__file__).parent.parent
 TINY = Size(workers=10, starts=10, running=8, teams=5, edges=2)
 JOB = '00000000000000a1'
 
@@ -21,8 +25,10 @@
 
 
 @pytest.fixture
-def whole(tmp_path):
+def whole(tmp_path, monkeypatch):
     """A run whose every process is known, also after it has ended."""
+    # the processes find the repository wherever the run was started
+    monkeypatch.chdir(tmp_path)
     s = Scale(tmp_path, TINY, seconds=3, levels=(1,), faults=False, configs=1, grace=0.2)
     every, spawn = {}, s.procs._spawn
 
@@ -46,6 +52,12 @@
     assert json.loads(json.dumps(rep))
 
 
+@pytest.mark.parametrize('mod, knows', [('bench.scale', True), ('asterwharf.fleet', False)])
+def test_the_bench_is_a_command_of_its_own_and_none_of_the_fleet_tool(mod, knows):
+    got = subprocess.run([sys.executable, '-m', mod, '--help'], cwd=ROOT, capture_output=True, text=True, timeout=60)
+    assert got.returncode == 0 and ('hollow minions' in got.stdout) is knows, got.stdout + got.stderr
+
+
 def test_an_interrupted_run_ends_its_processes(whole):
     s, every = whole
 
