Keep the players of the platform out of the product: the scale run is a bench

Cause: its hollow minions and clients speak the platform's words, which nothing outside platform/ may know (tests/test_platform.py failed, rightly). The command is now python -m bench.scale.

--- a/bench/scale/scale_procs.py
+++ b/bench/scale/scale_procs.py
@@ -125,7 +125,7 @@
     def _hollow(self, n, mod, cfg):
         p = self.dir / f'{n}.json'
         p.write_text(json.dumps(dict(cfg, log=str(self.dir / f'{n}.rows'), seed=self.rng.getrandbits(32))))
-        self._spawn(n, n.partition('-')[0], [f'asterwharf.fleet.{mod}', str(p)])
+        self._spawn(n, n.partition('-')[0], [f'bench.scale.{mod}', str(p)])
 
     def tell(self, addrs, **doc):
         s = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -55,7 +55,7 @@
 @pytest.mark.parametrize('mod, knows', [('bench.scale', True), ('asterwharf.fleet', False)])
 def test_the_bench_is_a_command_of_its_own_and_none_of_the_fleet_tool(mod, knows):
     got = subprocess.run([sys.executable, '-m', mod, '--help'], cwd=ROOT, capture_output=True, text=True, timeout=60)
-    assert got.returncode == 0 and ('hollow minions' in got.stdout) is knows, got.stdout + got.stderr
+    assert got.returncode == 0 and ('planned size' in got.stdout) is knows, got.stdout + got.stderr
 
 
 def test_an_interrupted_run_ends_its_processes(whole):
