--- a/asterwharf/base/alarms.py
+++ b/asterwharf/base/alarms.py
@@ -3,18 +3,34 @@
 # name -> (number, what it means, what to do)
 TABLE = {
     'link_unhealthy': (601, "A minion's heartbeats have stopped.", 'Look at the machine; runbook "minion lost".'),
-    'minion_suspect': (602, 'Several tasks in a row came to nothing on a minion while most others do well.',
-                       'Look at the machine; drain it.'),
+    'minion_suspect': (
+        602,
+        'Several tasks in a row came to nothing on a minion while most others do well.',
+        'Look at the machine; drain it.',
+    ),
     'node_out_of_sight': (603, 'Two or more watchers no longer hear a node.', 'Runbook "node lost".'),
     'minion_speaks_oddly': (604, "A minion's answers are not those of docs/minion.md.", 'Look at its version.'),
-    'config_unreadable': (605, "A configuration was delivered that this release can't read.",
-                          'Upgrade this node; it goes on with the old one.'),
+    'config_unreadable': (
+        605,
+        "A configuration was delivered that this release can't read.",
+        'Upgrade this node; it goes on with the old one.',
+    ),
     'bad_settings': (606, 'A settings file was refused on SIGHUP.', 'Correct the listed paths, send SIGHUP again.'),
-    'history_lost': (607, 'The store of old configurations could not be read and was begun anew.',
-                     'Nothing; what is in force is not touched.'),
-    'no_bind': (608, 'An address of the settings could not be bound; the process did not start.', 'See who listens there.'),
-    'disk_trouble': (609, 'A sync failed (full, broken); the process left so that others take over.',
-                     'Make room or replace the disk, start it again.'),
+    'history_lost': (
+        607,
+        'The store of old configurations could not be read and was begun anew.',
+        'Nothing; what is in force is not touched.',
+    ),
+    'no_bind': (
+        608,
+        'An address of the settings could not be bound; the process did not start.',
+        'See who listens there.',
+    ),
+    'disk_trouble': (
+        609,
+        'A sync failed (full, broken); the process left so that others take over.',
+        'Make room or replace the disk, start it again.',
+    ),
     'corrupt': (610, "The data folder can't be read; the process did not start.", 'Runbook "disk wiped".'),
     'inner_fault': (611, 'A fault of ours, with its trace.', 'Report it.'),
 }
@@ -42,5 +58,14 @@
         return got
 
     def rows(self):
-        return [{'number': TABLE[n][0], 'alarm': n, 'about': a, 'since': r['since'], 'text': TABLE[n][1], 'cure': TABLE[n][2]}
-                for (n, a), r in sorted(self.on.items())]
+        return [
+            {
+                'number': TABLE[n][0],
+                'alarm': n,
+                'about': a,
+                'since': r['since'],
+                'text': TABLE[n][1],
+                'cure': TABLE[n][2],
+            }
+            for (n, a), r in sorted(self.on.items())
+        ]
--- a/asterwharf/base/board.py
+++ b/asterwharf/base/board.py
@@ -15,9 +15,35 @@
 class Board:
     """What the controllers of one process share."""
 
-    __slots__ = ('adopt', 'adopting', 'alarms', 'atlas', 'cells', 'chores', 'config', 'count', 'emptied', 'history', 'holders', 'inc',
-                 'leaving', 'links', 'load', 'me', 'node', 'nodes', 'now', 'out', 'proto', 'rng', 'role', 'said', 'set',
-                 'wall', 'zone')
+    __slots__ = (
+        'adopt',
+        'adopting',
+        'alarms',
+        'atlas',
+        'cells',
+        'chores',
+        'config',
+        'count',
+        'emptied',
+        'history',
+        'holders',
+        'inc',
+        'leaving',
+        'links',
+        'load',
+        'me',
+        'node',
+        'nodes',
+        'now',
+        'out',
+        'proto',
+        'rng',
+        'role',
+        'said',
+        'set',
+        'wall',
+        'zone',
+    )
 
     def __init__(self, st, role, inc, rng, now=0, wall=0):
         self.set, self.me, self.role, self.zone, self.inc, self.rng = st, st.name, role, st.zone, inc, rng
@@ -29,7 +55,15 @@
         # long work in slices, one slice a tick; the sequence of a configuration that is being read
         self.chores, self.adopting, self.alarms = [], 0, Alarms()
         # the cell directory's copy, the cells that have a seat here, how to load what a group had synced
-        self.atlas, self.cells, self.load, self.node, self.proto, self.adopt, self.history = None, {}, None, None, 0, None, None
+        self.atlas, self.cells, self.load, self.node, self.proto, self.adopt, self.history = (
+            None,
+            {},
+            None,
+            None,
+            0,
+            None,
+            None,
+        )
 
     @property
     def sequence(self):
@@ -76,8 +110,17 @@
 
     def hello(self):
         s = self.set
-        return {'name': self.me, 'role': self.role, 'addr': s.bind, 'zone': self.zone, 'http': s.http, 'calls': s.calls,
-                'inc': self.inc, 'proto': self.proto, 'token': s.token}
+        return {
+            'name': self.me,
+            'role': self.role,
+            'addr': s.bind,
+            'zone': self.zone,
+            'http': s.http,
+            'calls': s.calls,
+            'inc': self.inc,
+            'proto': self.proto,
+            'token': s.token,
+        }
 
     def row(self):
         h = self.hello()
--- a/asterwharf/base/checks.py
+++ b/asterwharf/base/checks.py
@@ -89,8 +89,11 @@
 @functools.cache
 def _entries(cls):
     """The fields of a document that hold many named entries of one type."""
-    return {k: _args(h)[1][1] for k, h in _shape(cls)[0].items()
-            if _args(h)[0] is dict and dataclasses.is_dataclass(_args(h)[1][1])}
+    return {
+        k: _args(h)[1][1]
+        for k, h in _shape(cls)[0].items()
+        if _args(h)[0] is dict and dataclasses.is_dataclass(_args(h)[1][1])
+    }
 
 
 _SEEN, _MOST = {}, 60000
--- a/asterwharf/base/command.py
+++ b/asterwharf/base/command.py
@@ -13,11 +13,25 @@
 
 
 def _daemon(name, fn):
-    def cmd(settings: str = '', *, name_: Annotated[Optional[str], Parameter(name='--name')] = None,
-            bind: Optional[str] = None, http: Optional[str] = None, zone: Optional[str] = None, seeds: Many = None,
-            data: Optional[str] = None, minion: Optional[str] = None, token: Optional[str] = None,
-            core_size: Optional[int] = None, cores: Optional[float] = None, gpus: Optional[int] = None,
-            mem: Optional[int] = None, log_level: Optional[str] = None, check: bool = False, test_cuts: str = ''):
+    def cmd(
+        settings: str = '',
+        *,
+        name_: Annotated[Optional[str], Parameter(name='--name')] = None,
+        bind: Optional[str] = None,
+        http: Optional[str] = None,
+        zone: Optional[str] = None,
+        seeds: Many = None,
+        data: Optional[str] = None,
+        minion: Optional[str] = None,
+        token: Optional[str] = None,
+        core_size: Optional[int] = None,
+        cores: Optional[float] = None,
+        gpus: Optional[int] = None,
+        mem: Optional[int] = None,
+        log_level: Optional[str] = None,
+        check: bool = False,
+        test_cuts: str = '',
+    ):
         """Runs the process until SIGTERM; SIGHUP rereads the settings.
 
         Parameters
@@ -55,8 +69,21 @@
         test_cuts
             For tests: a file of faults to have, such as names of processes to be cut off from.
         """
-        over = {'name': name_, 'bind': bind, 'http': http, 'zone': zone, 'seeds': seeds, 'data': data, 'minion': minion,
-                'token': token, 'core_size': core_size, 'cores': cores, 'gpus': gpus, 'mem': mem, 'log_level': log_level}
+        over = {
+            'name': name_,
+            'bind': bind,
+            'http': http,
+            'zone': zone,
+            'seeds': seeds,
+            'data': data,
+            'minion': minion,
+            'token': token,
+            'core_size': core_size,
+            'cores': cores,
+            'gpus': gpus,
+            'mem': mem,
+            'log_level': log_level,
+        }
         res = load(settings, over)
         if res.is_error():
             row = TABLE['bad_settings']
--- a/asterwharf/base/logs.py
+++ b/asterwharf/base/logs.py
@@ -20,8 +20,12 @@
         self.who = who
 
     def format(self, rec):
-        row = {'at': time.strftime('%Y-%m-%dT%H:%M:%S', time.gmtime(rec.created)) + f'.{int(rec.msecs):03d}Z',
-               'level': rec.levelname.lower(), 'node': self.who, 'event': rec.getMessage()}
+        row = {
+            'at': time.strftime('%Y-%m-%dT%H:%M:%S', time.gmtime(rec.created)) + f'.{int(rec.msecs):03d}Z',
+            'level': rec.levelname.lower(),
+            'node': self.who,
+            'event': rec.getMessage(),
+        }
         row.update(getattr(rec, 'f', {}))
         if rec.exc_info:
             row['trace'] = self.formatException(rec.exc_info)
--- a/asterwharf/base/settings.py
+++ b/asterwharf/base/settings.py
@@ -133,8 +133,12 @@
         bad.append(f'name: {s.name!r} may hold letters, digits, "-", "_" and "." only')
     if not 1 <= len(s.seeds) <= 16:
         bad.append('seeds: between one and sixteen addresses are wanted')
-    bad += [f'{k}[{i}]: {v!r} is not IP:port' for k in ('seeds', 'founders') for i, v in enumerate(getattr(s, k))
-            if address(v) is None]
+    bad += [
+        f'{k}[{i}]: {v!r} is not IP:port'
+        for k in ('seeds', 'founders')
+        for i, v in enumerate(getattr(s, k))
+        if address(v) is None
+    ]
     if s.founders and len(s.founders) != s.core_size:
         bad.append('founders: as many as core_size are wanted, or none')
     for o, p in ((s, ''), (s.link, 'link.'), (s.view, 'view.'), (s.call, 'call.')):
--- a/asterwharf/disk/history.py
+++ b/asterwharf/disk/history.py
@@ -86,8 +86,14 @@
             return out
         try:
             for c in self._walk():
-                out.append({'sequence': self._seq(c), 'by': c.message.split()[3].decode(), 'at': c.commit_time * 1000,
-                            'id': c.id.decode()[:12]})
+                out.append(
+                    {
+                        'sequence': self._seq(c),
+                        'by': c.message.split()[3].decode(),
+                        'at': c.commit_time * 1000,
+                        'id': c.id.decode()[:12],
+                    }
+                )
                 if len(out) >= most:
                     break
         except Exception as e:
--- a/asterwharf/door/app.py
+++ b/asterwharf/door/app.py
@@ -138,8 +138,15 @@
             self._run(e)
         except Exception as x:
             # a fault of ours must not cut the caller off
-            logs.say('error', 'alarm', alarm='inner_fault', code=500, fault=f'{type(x).__name__}: {x}', path=path,
-                     trace=_trace(x))
+            logs.say(
+                'error',
+                'alarm',
+                alarm='inner_fault',
+                code=500,
+                fault=f'{type(x).__name__}: {x}',
+                path=path,
+                trace=_trace(x),
+            )
             self.give(e, 'inner', None)
 
     def _run(self, e):
@@ -180,8 +187,11 @@
         if b.leaving:
             return 'leaving'
         # in a cut-off cell an edge that reaches the cell's holder has callers to serve
-        own = [g for g, p in b.cells.items()] + [c['gid'] for n, c in b.atlas.cells.items()
-                                                 if b.config and n in b.config.cells and b.zone in b.config.cells[n].zones]
+        own = [g for g, p in b.cells.items()] + [
+            c['gid']
+            for n, c in b.atlas.cells.items()
+            if b.config and n in b.config.cells and b.zone in b.config.cells[n].zones
+        ]
         if not any(self._near(g) for g in ['commons', *own]):
             return 'no holder of a cell is in reach'
         return ''
@@ -208,4 +218,5 @@
 
 def _trace(x):
     import traceback
+
     return ''.join(traceback.format_exception(x))[-2000:]
--- a/asterwharf/door/http.py
+++ b/asterwharf/door/http.py
@@ -98,7 +98,7 @@
         if chk:
             # what stands behind the last chunk belongs to the next request
             tail = b''.join(p._buf)
-            ln.rest = tail[tail.find(b'\r\n\r\n') + 4:] if b'\r\n\r\n' in tail else b''
+            ln.rest = tail[tail.find(b'\r\n\r\n') + 4 :] if b'\r\n\r\n' in tail else b''
         else:
             body, ln.rest = body[:n], body[n:]
         self._request(ln, p, hdr, body)
@@ -106,8 +106,16 @@
     def _request(self, ln, p, hdr, body):
         ln.busy, keep = True, p.should_keep_alive()
         try:
-            req = Request(ln.sock, p.get_method(), p.get_scheme() or 'http', p.get_path(), p.get_version(),
-                          p.get_query_string(), headers=hdr, server=self._server)
+            req = Request(
+                ln.sock,
+                p.get_method(),
+                p.get_scheme() or 'http',
+                p.get_path(),
+                p.get_version(),
+                p.get_query_string(),
+                headers=hdr,
+                server=self._server,
+            )
         except Exception:
             # a Host that is no host, a peer that has gone
             return self._bad(ln, 'bad_http', 'Host')
@@ -124,8 +132,10 @@
     def _bad(self, ln, code, why):
         """A message that can't be read ends its connection, with a numbered code first."""
         sts, raw, hds = self.app.trouble(code, why)
-        head = f'HTTP/1.1 {sts} Refused\r\nConnection: close\r\nContent-Type: application/json\r\n' \
-               f'Content-Length: {len(raw)}\r\n\r\n'
+        head = (
+            f'HTTP/1.1 {sts} Refused\r\nConnection: close\r\nContent-Type: application/json\r\n'
+            f'Content-Length: {len(raw)}\r\n\r\n'
+        )
         ln.busy = True
         self.fire(write(ln.sock, head.encode() + raw))
         self.fire(close(ln.sock))
--- a/asterwharf/door/lean.py
+++ b/asterwharf/door/lean.py
@@ -40,7 +40,21 @@
 class Line:
     """One connection: what has come, the request being read, whether one is being answered."""
 
-    __slots__ = ('at', 'begun', 'busy', 'chunks', 'ended', 'feeding', 'keep', 'need', 'over', 'req', 'rest', 'sock', 'turn')
+    __slots__ = (
+        'at',
+        'begun',
+        'busy',
+        'chunks',
+        'ended',
+        'feeding',
+        'keep',
+        'need',
+        'over',
+        'req',
+        'rest',
+        'sock',
+        'turn',
+    )
 
     def __init__(self, sock, now):
         self.sock, self.at, self.rest, self.turn = sock, now, b'', 0
@@ -151,7 +165,7 @@
             if not raw:
                 ln.begun = False
             return False
-        ln.rest = raw[i + 4:]
+        ln.rest = raw[i + 4 :]
         req = plain(raw[:i]) or parsed(raw[:i])
         ln.req, ln.keep = req[:4], req[4]
         self._size(ln, req[3])
@@ -206,18 +220,18 @@
             end = i + 2 + n
             if len(raw) < end + 2:
                 break
-            if raw[end:end + 2] != b'\r\n':
+            if raw[end : end + 2] != b'\r\n':
                 raise Bad('bad_http', 'chunk')
-            ln.chunks.append(raw[i + 2:end])
+            ln.chunks.append(raw[i + 2 : end])
             ln.need, at = ln.need + n, end + 2
         ln.rest = raw[at:]
         return None
 
     def _trailer(self, ln, raw, at, i):
         """After the last chunk come fields that nobody wants, then an empty line: whether it is there."""
-        j = i if raw[i:i + 4] == b'\r\n\r\n' else raw.find(b'\r\n\r\n', i)
+        j = i if raw[i : i + 4] == b'\r\n\r\n' else raw.find(b'\r\n\r\n', i)
         if j >= 0:
-            ln.rest = raw[j + 4:]
+            ln.rest = raw[j + 4 :]
         elif len(raw) - at > self.app.max_head:
             raise Bad('bad_http', 'trailer')
         return j >= 0
@@ -337,6 +351,7 @@
     """The same of any other header, by the library's parser."""
     # its package is a tenth of a program's memory, and most programs never meet such a header
     from circuits.web.parsers import HttpParser
+
     p = HttpParser(0, False)
     raw += b'\r\n\r\n'
     try:
--- a/asterwharf/door/routes.py
+++ b/asterwharf/door/routes.py
@@ -26,8 +26,11 @@
 
 def _names(e):
     """Names in the path must be names."""
-    bad = [f'{k}: {e.args[k]!r} is not a name' for k in ('tenant', 'id', 'minion', 'old', 'new') if k in e.args
-           and not (MINION if k == 'minion' else NAME).match(e.args[k])]
+    bad = [
+        f'{k}: {e.args[k]!r} is not a name'
+        for k in ('tenant', 'id', 'minion', 'old', 'new')
+        if k in e.args and not (MINION if k == 'minion' else NAME).match(e.args[k])
+    ]
     return trouble('bad_field', *bad) if bad else None
 
 
@@ -91,7 +94,7 @@
     if 'sequence' in e.args:
         seq = _seq(e.args['sequence'])
         if seq is None:
-            return trouble('bad_field', f"sequence: {e.args['sequence']!r} is not a sequence")
+            return trouble('bad_field', f'sequence: {e.args["sequence"]!r} is not a sequence')
         e.args['sequence'] = seq
         return None
     return _listing(e)
@@ -105,7 +108,9 @@
     raw = e.query.get('most', '200')
     if not raw.isdigit() or not 1 <= int(raw) <= 5000:
         return trouble('bad_field', f'most: {raw!r} is not between 1 and 5000')
-    e.args.update(tenant=e.query.get('tenant', ''), queue=e.query.get('queue', ''), state=e.query.get('state', ''), most=int(raw))
+    e.args.update(
+        tenant=e.query.get('tenant', ''), queue=e.query.get('queue', ''), state=e.query.get('state', ''), most=int(raw)
+    )
     return None
 
 
@@ -119,7 +124,9 @@
 
 def _queue_job(e):
     """The identifier of a queue's job must be one."""
-    return None if ID.match(e.args['id']) else trouble('bad_field', f"id: {e.args['id']!r} is not 16 digits from 0 to f")
+    return (
+        None if ID.match(e.args['id']) else trouble('bad_field', f'id: {e.args["id"]!r} is not 16 digits from 0 to f')
+    )
 
 
 def _queue_submit(e):
@@ -132,11 +139,13 @@
         return trouble('no_config')
     q = qs.queue(e.args['queue'])
     if q is None:
-        return trouble('unknown_queue', f"queue: {e.args['queue']!r}")
+        return trouble('unknown_queue', f'queue: {e.args["queue"]!r}')
     res = spec(e.doc)
     if res.is_error():
         return res.error
-    e.args.update(spec=res.ok, queue={k: getattr(q, k) for k in ('name', 'group', 'priority', 'tries', 'stretch', 'aim_ms')})
+    e.args.update(
+        spec=res.ok, queue={k: getattr(q, k) for k in ('name', 'group', 'priority', 'tries', 'stretch', 'aim_ms')}
+    )
     return None
 
 
@@ -162,21 +171,37 @@
 
 def _status(app, e):
     b = app.b
-    out = {'node': b.me, 'role': b.role, 'zone': b.zone, 'inc': b.inc, 'leaving': b.leaving,
-           'sequence': b.sequence, 'queues': b.atlas.number, 'fit': app.fit() == '',
-           'holders': {g: {'name': n, 'view': v} for g, (n, v) in b.holders.items()},
-           'links': sorted(b.links), 'errands': len(app.ferry.trips), 'counts': dict(sorted(b.count.items())),
-           'nodes': {n: {k: r[k] for k in ('role', 'zone', 'http')} for n, r in sorted(b.nodes.items()) if r['role'] != 'tend'},
-           'alarms': b.alarms.rows()}
+    out = {
+        'node': b.me,
+        'role': b.role,
+        'zone': b.zone,
+        'inc': b.inc,
+        'leaving': b.leaving,
+        'sequence': b.sequence,
+        'queues': b.atlas.number,
+        'fit': app.fit() == '',
+        'holders': {g: {'name': n, 'view': v} for g, (n, v) in b.holders.items()},
+        'links': sorted(b.links),
+        'errands': len(app.ferry.trips),
+        'counts': dict(sorted(b.count.items())),
+        'nodes': {
+            n: {k: r[k] for k in ('role', 'zone', 'http')} for n, r in sorted(b.nodes.items()) if r['role'] != 'tend'
+        },
+        'alarms': b.alarms.rows(),
+    }
     if app.fit():
         out['why'] = app.fit()
     for c in app.node.ctl:
         if hasattr(c, 'teths'):
-            out['minions'] = {t.peer: {'state': t.state, 'link_round': t.link, 'tasks': len(t.rounds)}
-                              for t in c.teths.values()}
+            out['minions'] = {
+                t.peer: {'state': t.state, 'link_round': t.link, 'tasks': len(t.rounds)} for t in c.teths.values()
+            }
         if hasattr(c, 'seat'):
-            out.setdefault('seats', {})[c.grp] = {'state': c.seat.state, 'seated': c.seat.seated,
-                                                        'size': len(c.seat.log.seats)}
+            out.setdefault('seats', {})[c.grp] = {
+                'state': c.seat.state,
+                'seated': c.seat.seated,
+                'size': len(c.seat.log.seats),
+            }
         if hasattr(c, 'sight'):
             out['out_of_sight'] = sorted(n for n, v in c.sight.items() if v)
     return 'ok', out
@@ -184,19 +209,39 @@
 
 def _metrics(app, e):
     """Numbers for a monitoring system: counters that only rise, gauges, and the alarms that stand."""
-    b, gau = app.b, {'errands_open': len(app.ferry.trips), 'links': len(app.b.links), 'sequence': app.b.sequence,
-                     'queues': app.b.atlas.number, 'fit': int(app.fit() == ''), 'leaving': int(app.b.leaving)}
+    b, gau = (
+        app.b,
+        {
+            'errands_open': len(app.ferry.trips),
+            'links': len(app.b.links),
+            'sequence': app.b.sequence,
+            'queues': app.b.atlas.number,
+            'fit': int(app.fit() == ''),
+            'leaving': int(app.b.leaving),
+        },
+    )
     for c in app.node.ctl:
         if hasattr(c, 'seat'):
             s = c.seat
-            gau.update({f'group.{c.grp}.holds': int(s.ten is not None), f'group.{c.grp}.view': s.view,
-                        f'group.{c.grp}.delivered': s.upto, f'group.{c.grp}.last': s.log.last,
-                        f'group.{c.grp}.sync_ms': round(s.lag, 2)})
+            gau.update(
+                {
+                    f'group.{c.grp}.holds': int(s.ten is not None),
+                    f'group.{c.grp}.view': s.view,
+                    f'group.{c.grp}.delivered': s.upto,
+                    f'group.{c.grp}.last': s.log.last,
+                    f'group.{c.grp}.sync_ms': round(s.lag, 2),
+                }
+            )
         if hasattr(c, 'buf') and c.buf is not None:
             gau[f'group.{c.cell.grp}.ready'] = len(c.buf)
             gau[f'group.{c.cell.grp}.minions_up'] = sum(m.up for m in c.mac.minions.values())
-    return 'ok', {'node': b.me, 'role': b.role, 'counters': dict(sorted(b.count.items())), 'gauges': gau,
-                  'alarms': b.alarms.rows()}
+    return 'ok', {
+        'node': b.me,
+        'role': b.role,
+        'counters': dict(sorted(b.count.items())),
+        'gauges': gau,
+        'alarms': b.alarms.rows(),
+    }
 
 
 def _lines(app, e):
--- a/asterwharf/door/specs.py
+++ b/asterwharf/door/specs.py
@@ -10,7 +10,7 @@
 # bounds of a job: bytes of its payload, steps, tasks of all steps, times, tasks of all times, bytes of a name
 PAYLOAD, STEPS, TASKS, TIMES, ALL, NAME = 4000, 200, 10000, 10000, 100000, 200
 # the largest number that any field may hold; a time in ms since 1970 is near 2 * 10 ** 12
-BIG = 10 ** 15
+BIG = 10**15
 
 
 @dataclass(frozen=True)
--- a/asterwharf/fleet/__main__.py
+++ b/asterwharf/fleet/__main__.py
@@ -14,11 +14,13 @@
 from cyclopts import App
 
 from asterwharf.fleet import faults
-from asterwharf.fleet.callers import Callers
 from asterwharf.fleet.judge import judge
 from asterwharf.fleet.live import Live
 
-app = App(name='asterwharf.fleet', help='A whole fleet on loopback. A tool for trying and testing.', help_format='plaintext')
+app = App(
+    name='asterwharf.fleet', help='A whole fleet on loopback. A tool for trying and testing.', help_format='plaintext'
+)
+
 
 def _pct(xs, q):
     xs = sorted(xs)
@@ -56,10 +58,12 @@
         spec = calls.specs[ten, jid]
         cls.setdefault(spec['class'], []).append(ms)
         first = spec['tasks'][0]
-        at = obs.starts.get(f"{ten}/{jid}/{first['name']}")
+        at = obs.starts.get(f'{ten}/{jid}/{first["name"]}')
         if at and not first.get('due') and (ten, jid) in calls.final:
             # from being kept to the first start that the minion really made
-            took = next(t for t, k, op, c, *_ in calls.told if k == (ten, jid) and op == 'submit' and c in ('taken', 'same'))
+            took = next(
+                t for t, k, op, c, *_ in calls.told if k == (ten, jid) and op == 'submit' and c in ('taken', 'same')
+            )
             starts.setdefault(spec['class'], []).append(at[0] - took)
     n = max(1, len(calls.kept))
     states = {}
@@ -71,13 +75,25 @@
         'start_ms': {k: {'median': statistics.median(v), 'p99': _pct(v, 0.99), 'n': len(v)} for k, v in starts.items()},
         'per_job': {k: round((after[k] - before[k]) / n, 2) for k in before},
         'answers': {f'{o} {s}': c for (o, s), c in sorted(calls.count.items())},
-        'observer': obs.count, 'overlap_ms': sorted(ms for ms, _ in obs.overlaps),
-        'strict': sorted({r for _, r, _ in obs.strict}), 'broken': [[t, r, k] for t, r, k in obs.broken[:20]]}
+        'observer': obs.count,
+        'overlap_ms': sorted(ms for ms, _ in obs.overlaps),
+        'strict': sorted({r for _, r, _ in obs.strict}),
+        'broken': [[t, r, k] for t, r, k in obs.broken[:20]],
+    }
 
 
 @app.default
-def main(size: str = 'small', *, seconds: int = 30, seed: int = 1, scale: float = 1.0, fault: Optional[list[str]] = None,
-         folder: Optional[Path] = None, keep: bool = False, config: Optional[Path] = None):
+def main(
+    size: str = 'small',
+    *,
+    seconds: int = 30,
+    seed: int = 1,
+    scale: float = 1.0,
+    fault: Optional[list[str]] = None,
+    folder: Optional[Path] = None,
+    keep: bool = False,
+    config: Optional[Path] = None,
+):
     """Starts a fleet, sends the deployment's mix, causes faults if asked to, judges, reports.
 
     Parameters
@@ -118,8 +134,11 @@
         live.configure(lambda d: doc)
         if not live.until(lambda: live.minions_up() == len(live.tends), 120):
             sys.exit(f'not every minion registered; see {folder}')
-        print(f'up: {len(live.core)} core, {len(live.edges)} edges, {len(live.tends)} minions; doors '
-              + ','.join(live.http[e] for e in live.edges), flush=True)
+        print(
+            f'up: {len(live.core)} core, {len(live.edges)} edges, {len(live.tends)} minions; doors '
+            + ','.join(live.http[e] for e in live.edges),
+            flush=True,
+        )
         if keep and not seconds:
             while True:
                 time.sleep(3600)
--- a/asterwharf/fleet/callers.py
+++ b/asterwharf/fleet/callers.py
@@ -19,7 +19,11 @@
 
     def init(self, doors, site, secs, seed=1, scale=1.0, token='', nodes=()):
         self.doors, self.rng, self.site, self.seed = list(doors), random.Random(seed), site, seed
-        self.asks, self.told, self.heads = Asks().register(self), [], [('Authorization', f'Bearer {token}')] if token else []
+        self.asks, self.told, self.heads = (
+            Asks().register(self),
+            [],
+            [('Authorization', f'Bearer {token}')] if token else [],
+        )
         self.beg, self.n, self.todo, self.final, self.kept, self.specs = boot_ms(), 0, [], {}, {}, {}
         self.first, self.span, self.count, self.rest = {}, secs * 1000, {}, boot_ms() + secs * 1000
         self.fit, self.limit = set(doors), boot_ms() + secs * 4000 + 120000
@@ -69,8 +73,10 @@
     # --- as the platform does: who is ready is asked every second
     def _look(self):
         for d in self.doors:
+
             def got(sts, doc, hds, d=d):
                 (self.fit.add if sts == 200 else self.fit.discard)(d)
+
             self.asks.request(d, 'GET', '/fitness', None, got, 1500)
         self.ops.look()
         self.later(1000, self._look)
@@ -93,6 +99,7 @@
             self._note(key, op, sts, doc2, beg, door)
             wait = int(hds.get('Retry-After', hds.get('RETRY-AFTER', 1))) * 1000 if sts in AGAIN else 0
             then(sts, doc2, wait)
+
         self.asks.request(door, method, f'/v1/tenants/{ten}/jobs/{jid}', doc, got, 8000, self.heads)
 
     # --- one job's life
@@ -129,6 +136,7 @@
                 return
             if sts in AGAIN:
                 self.later(max(300, wait) * self.rng.uniform(0.8, 1.2), self._submit, key)
+
         self._call('submit', 'PUT', key, self.specs[key], then)
 
     def _ask(self, key):
@@ -137,6 +145,7 @@
                 self.final.setdefault(key, doc)
                 return
             self.later(max(1000, wait) * self.rng.uniform(0.8, 1.2), self._ask, key)
+
         if key not in self.final:
             self._call('job', 'GET', key, None, then)
 
@@ -145,6 +154,7 @@
             # unknown while its own sending is still under way: it may be taken yet
             if sts in (202, *AGAIN) or sts == 404 and key not in self.kept:
                 self.later(max(500, wait), self._cancel, key)
+
         self.told.append((wall_ms(), key, 'cancel_asked', '', {}, 0, ''))
         self._call('cancel', 'DELETE', key, None, then)
 
--- a/asterwharf/fleet/faults.py
+++ b/asterwharf/fleet/faults.py
@@ -155,6 +155,7 @@
         if p.poll() is None:
             return calls.later(200, again)
         live.start(n, **over)
+
     calls.later(200, again)
 
 
@@ -187,6 +188,7 @@
             live.start(n)
             # the platform waits for readiness before the next; agents are ready when they are linked again
             calls.later(500, ready, n, 40)
+
         calls.later(100, again)
 
     def ready(n, left):
@@ -194,9 +196,11 @@
             if sts == 200 or not left:
                 return calls.later(300, nxt)
             calls.later(300, ready, n, left - 1)
+
         if n in live.tends:
             return calls.later(1000, nxt)
         calls.asks.request(live.http[n], 'GET', '/fitness', None, got, 1500)
+
     nxt()
 
 
@@ -307,6 +311,7 @@
         if n in live.procs:
             live.crash_minion(n)
             calls.later(15000, live.start, n)
+
     calls.later(2000, away)
 
 
@@ -362,4 +367,6 @@
     """A configuration grows by 5,000 tenants, and shrinks again."""
     more = {f'x{i}': {'weight': 1.5} for i in range(5000)}
     calls.configure(lambda d: dict(d, tenants={**d['tenants'], **more}))
-    calls.later(6000, calls.configure, lambda d: dict(d, tenants={k: v for k, v in d['tenants'].items() if k not in more}))
+    calls.later(
+        6000, calls.configure, lambda d: dict(d, tenants={k: v for k, v in d['tenants'].items() if k not in more})
+    )
--- a/asterwharf/fleet/judge.py
+++ b/asterwharf/fleet/judge.py
@@ -50,8 +50,11 @@
         rows = list(_journals(self.live))
         rows += [(at, 0, _fault, (what, args)) for at, what, args in self.live.done]
         rows += [(at, 2, _told, (f'{k[0]}/{k[1]}', op, code, doc)) for at, k, op, code, doc, _, _ in self.calls.told]
-        rows += [(at, 2, _cut_off, (k, op, door, beg)) for at, k, op, code, _, beg, door in self.calls.told
-                 if code is None and door]
+        rows += [
+            (at, 2, _cut_off, (k, op, door, beg))
+            for at, k, op, code, _, beg, door in self.calls.told
+            if code is None and door
+        ]
         rows += [(at, 2, _config, (what, args)) for at, what, args in self.live.confs + self.calls.configs]
         rows += [(at, 3, _force, row) for at, *row in self.calls.force]
         beg, end = min(r[0] for r in rows), max(r[0] for r in rows)
@@ -94,8 +97,11 @@
 def _cut_off(j, key, op, door, beg):
     """Without an answer, though the door was never killed, frozen or cut: only planned restarts can have done it."""
     n = next((n for n, a in j.live.http.items() if a == door), '')
-    hurt = [1 for at, what, args in j.live.done if what in ('kill', 'freeze', 'crash', 'thaw') and args[0] == n
-            and beg - 15000 <= at <= j.at]
+    hurt = [
+        1
+        for at, what, args in j.live.done
+        if what in ('kill', 'freeze', 'crash', 'thaw') and args[0] == n and beg - 15000 <= at <= j.at
+    ]
     if not hurt:
         j.obs.no('a request was cut off without an answer', job=f'{key[0]}/{key[1]}', op=op, door=n, ms=j.at - beg)
 
--- a/asterwharf/fleet/live.py
+++ b/asterwharf/fleet/live.py
@@ -15,8 +15,16 @@
 from asterwharf.sim.deploy import ALL as SITES
 
 # shorter bounds than the defaults, so that recovery is seen within a run; the ratios are the defaults'
-LINK = {'beat_ms': 1000, 'unhealthy_ms': 3000, 'close_ms': 6000, 'grace_ms': 12000, 'base_ms': 300, 'max_ms': 3000,
-        'auth_ms': 3000, 'register_ms': 5000}
+LINK = {
+    'beat_ms': 1000,
+    'unhealthy_ms': 3000,
+    'close_ms': 6000,
+    'grace_ms': 12000,
+    'base_ms': 300,
+    'max_ms': 3000,
+    'auth_ms': 3000,
+    'register_ms': 5000,
+}
 VIEW = {'silence_ms': 1500}
 
 
@@ -70,8 +78,16 @@
         return os.path.join(self.dir, *p)
 
     def settings(self, n, **over):
-        s = {'name': n, 'bind': self.bind[n], 'zone': self.zone(n), 'core_size': self.sz['core'],
-             'seeds': [self.bind[c] for c in self.core], 'token': self.token, 'link': self.link, 'view': self.view}
+        s = {
+            'name': n,
+            'bind': self.bind[n],
+            'zone': self.zone(n),
+            'core_size': self.sz['core'],
+            'seeds': [self.bind[c] for c in self.core],
+            'token': self.token,
+            'link': self.link,
+            'view': self.view,
+        }
         if n in self.core:
             s.update(http=self.http[n], data=self.path('data', n))
         elif n in self.edges:
@@ -100,13 +116,27 @@
             self.start_minion(n)
         mod = 'asterwharf.trellis.main' if n in self.core else 'asterwharf.furrow.main'
         sub = [] if n in self.core else ['serve' if n in self.edges else 'tend']
-        self.procs[n] = self._spawn(n, [sys.executable, '-c', f'from {mod} import main; main()', *sub, p,
-                                        '--test-cuts', self.path(f'{n}.cuts')])
+        self.procs[n] = self._spawn(
+            n, [sys.executable, '-c', f'from {mod} import main; main()', *sub, p, '--test-cuts', self.path(f'{n}.cuts')]
+        )
 
     def start_minion(self, n):
-        self.mins[n] = self._spawn(f'{n}.minion', [
-            sys.executable, '-m', 'asterwharf.fleet.minion', '--bind', self.http[n], '--journal', self.path(f'{n}.journal'),
-            '--cores', str(self.sz['cores']), '--gpus', str(self.sz['gpus'])])
+        self.mins[n] = self._spawn(
+            f'{n}.minion',
+            [
+                sys.executable,
+                '-m',
+                'asterwharf.fleet.minion',
+                '--bind',
+                self.http[n],
+                '--journal',
+                self.path(f'{n}.journal'),
+                '--cores',
+                str(self.sz['cores']),
+                '--gpus',
+                str(self.sz['gpus']),
+            ],
+        )
 
     def up(self):
         for n in self.core + self.edges + self.tends:
@@ -251,6 +281,7 @@
                 box.append((cur['sequence'], got['sequence']))
                 self.confs.append((wall_ms(), 'config_told', (cur['sequence'], got['sequence'], doc, 'fleet')))
             return sts == 200
+
         return box[0] if self.until(go, most) else None
 
     def callers(self, secs, seed=1, scale=1.0, site=None):
--- a/asterwharf/fleet/minion.py
+++ b/asterwharf/fleet/minion.py
@@ -47,6 +47,7 @@
     def take(self, method, path, query, heads, body, give):
         def ans(sts, doc):
             give(sts, json.dumps(doc).encode(), {})
+
         if self.faults.get('hang'):
             return
         if (method, path) == ('GET', '/endings'):
@@ -57,7 +58,13 @@
             return self._serve(boot_ms())
         try:
             doc = json.loads(body or b'{}')
-            fn = {'/start': self._start, '/hold': self._hold, '/stop': self._stop, '/faults': self._faults, '/drain': self._drain}[path]
+            fn = {
+                '/start': self._start,
+                '/hold': self._hold,
+                '/stop': self._stop,
+                '/faults': self._faults,
+                '/drain': self._drain,
+            }[path]
         except (ValueError, KeyError):
             return ans(400, {'state': 'refused', 'why': 'not understood'})
         ans(*fn(doc))
@@ -151,8 +158,9 @@
                     self.n += 1
                     why = '' if ok else 'exit 1'
                     self._over((k, r), ok, why)
-                    self.ends = self.ends[-KEEP:] + [{'n': self.n, 'task': k, 'round': r, 'ok': ok, 'why': why,
-                                                      'at': wall_ms()}]
+                    self.ends = self.ends[-KEEP:] + [
+                        {'n': self.n, 'task': k, 'round': r, 'ok': ok, 'why': why, 'at': wall_ms()}
+                    ]
                     self.note('done' if ok else 'failed', k, r)
             self._serve(now)
             nxt = min([e for _, e, _ in self.work.values()] + [e for _, _, e in self.polls] + [now + 500])
--- a/asterwharf/fleet/operators.py
+++ b/asterwharf/fleet/operators.py
@@ -20,10 +20,12 @@
     def look(self):
         """Every second, what each node has in force."""
         for n, door in self.nodes.items():
+
             def got(sts, doc, hds, n=n):
                 if sts == 200 and isinstance(doc, dict):
                     bad = [g for g, s in doc.get('seats', {}).items() if not s['seated']]
                     self.force.append((wall_ms(), n, doc['sequence'], bool(bad)))
+
             self.c.asks.request(door, 'GET', '/status', None, got, 1500)
 
     def configure(self, change, by='op', left=TRIES):
@@ -48,6 +50,8 @@
                 if sts2 == 412:
                     self.note('config_refused')
                 again(self.c.rng.randint(50, 500))
+
             heads = [('If-Match', str(base)), ('X-Operator', by), *self.c.heads]
             self.c.asks.request(door, 'PUT', '/v1/config', doc, put, 15000, heads)
+
         self.c.asks.request(door, 'GET', '/v1/config', None, read, 8000, self.c.heads)
--- a/asterwharf/furrow/dialect.py
+++ b/asterwharf/furrow/dialect.py
@@ -78,7 +78,14 @@
         now = boot_ms()
         if not self.polling and now >= self.due:
             self.polling = True
-            self.asks.request(self.addr, 'GET', f'/endings?after={self.after}&wait={WAIT}&boot={self.boot}', None, self._news, ttl=WAIT + 3000)
+            self.asks.request(
+                self.addr,
+                'GET',
+                f'/endings?after={self.after}&wait={WAIT}&boot={self.boot}',
+                None,
+                self._news,
+                ttl=WAIT + 3000,
+            )
         if not self.polling:
             event.reduce_time_left(max(0.0, (self.due - now) / 1000))
 
--- a/asterwharf/furrow/main.py
+++ b/asterwharf/furrow/main.py
@@ -21,6 +21,7 @@
     from asterwharf.disk.store import Corrupt, Store
     from asterwharf.door.app import App
     from asterwharf.door.http import Door
+
     try:
         # an edge may have a small disk, for the cells it has a seat in
         sto = Store(st.data)
@@ -40,6 +41,7 @@
     from asterwharf.disk.store import Store
     from asterwharf.furrow.dialect import Dialect
     from asterwharf.link.keeper import Keeper
+
     if not st.minion:
         print('minion: missing; `furrow tend` needs the address of its minion')
         return 2
@@ -52,7 +54,10 @@
 
 
 def main():
-    app = settle('furrow', 'The data plane of asterwharf.', {'serve': 'An edge: the door for callers and operators.',
-                                                             'tend': 'The agent beside one minion.'},
-                 {'serve': serve, 'tend': tend})
+    app = settle(
+        'furrow',
+        'The data plane of asterwharf.',
+        {'serve': 'An edge: the door for callers and operators.', 'tend': 'The agent beside one minion.'},
+        {'serve': serve, 'tend': tend},
+    )
     app()
--- a/asterwharf/link/agent.py
+++ b/asterwharf/link/agent.py
@@ -11,8 +11,13 @@
 # doors that one round of dialling tries, one after another, before it rests
 DOORS = 3
 
-DISCONNECTED, CONNECTING, AUTHENTICATING, REGISTERING, REGISTERED = ('disconnected', 'connecting', 'authenticating',
-                                                                    'registering', 'registered')
+DISCONNECTED, CONNECTING, AUTHENTICATING, REGISTERING, REGISTERED = (
+    'disconnected',
+    'connecting',
+    'authenticating',
+    'registering',
+    'registered',
+)
 STEPS = {
     DISCONNECTED: {CONNECTING},
     CONNECTING: {DISCONNECTED, AUTHENTICATING, REGISTERING},
@@ -25,8 +30,31 @@
 class Agent(Controller):
     """Dials out, registers, beats, flushes; the keeper beside it owns the tasks."""
 
-    __slots__ = ('addr', 'att', 'beats', 'bye', 'due', 'edge', 'emptied', 'events', 'keeper', 'last', 'lines', 'link',
-                 'n', 'nonce', 'okd', 'outage', 'regs', 'sequence', 'since', 'state', 'terms', 'tried', 'turns')
+    __slots__ = (
+        'addr',
+        'att',
+        'beats',
+        'bye',
+        'due',
+        'edge',
+        'emptied',
+        'events',
+        'keeper',
+        'last',
+        'lines',
+        'link',
+        'n',
+        'nonce',
+        'okd',
+        'outage',
+        'regs',
+        'sequence',
+        'since',
+        'state',
+        'terms',
+        'tried',
+        'turns',
+    )
     hears = ('roll', 'authed', 'ack', 'beaten', 'probe', 'detach')
 
     def __init__(self, b):
@@ -149,9 +177,21 @@
         self.turn(REGISTERING, 'registering')
         self.nonce += 1
         self.regs = {self.nonce: b.now}
-        b.send(self.edge, 'register', minion=b.me, inc=b.inc, zone=b.zone, inflight=k.inflight(), drain=k.drain,
-               edge=self.edge, nonce=self.nonce, stamp=b.now, sequence=self.sequence, labels=dict(b.set.labels),
-               **k.room())
+        b.send(
+            self.edge,
+            'register',
+            minion=b.me,
+            inc=b.inc,
+            zone=b.zone,
+            inflight=k.inflight(),
+            drain=k.drain,
+            edge=self.edge,
+            nonce=self.nonce,
+            stamp=b.now,
+            sequence=self.sequence,
+            labels=dict(b.set.labels),
+            **k.room(),
+        )
 
     def on_ack(self, src, d):
         if src != self.edge or self.state != REGISTERING or d['nonce'] not in self.regs:
@@ -164,7 +204,7 @@
         self.link, self.terms, self.att, self.beats, self.last = d['link'], d['settings'], 0, {}, b.now
         self._news(d)
         self.tried = {}
-        self.turn(REGISTERED, f"link round {d['link']}")
+        self.turn(REGISTERED, f'link round {d["link"]}')
         self.keeper.reconcile(d['record'])
         self._flush()
 
@@ -176,11 +216,16 @@
     def _flush(self):
         """Behind a gap marker, original timestamps kept."""
         b = self.b
-        gap = {'outage_ms': b.now - self.outage, 'events': len(self.events), 'logs': len(self.lines),
-               'events_dropped': self.events.dropped, 'logs_dropped': self.lines.dropped}
+        gap = {
+            'outage_ms': b.now - self.outage,
+            'events': len(self.events),
+            'logs': len(self.lines),
+            'events_dropped': self.events.dropped,
+            'logs_dropped': self.lines.dropped,
+        }
         rows = [{'what': 'gap', 'at': b.wall, 'text': json.dumps(gap)}] + self.events.drain() + self.lines.drain()
         for i in range(0, len(rows), 500):
-            b.send(self.edge, 'tell', minion=b.me, link=self.link, lines=rows[i:i + 500])
+            b.send(self.edge, 'tell', minion=b.me, link=self.link, lines=rows[i : i + 500])
 
     # --- events and log lines go through the rings; status messages never do
     def event(self, what, text):
--- a/asterwharf/link/edge.py
+++ b/asterwharf/link/edge.py
@@ -27,8 +27,22 @@
     """Accepts agents, mirrors their states, and carries their words to the holder and back."""
 
     __slots__ = ('lines', 'seen', 'teths')
-    hears = ('auth', 'register', 'beat', 'stamped', 'status', 'drain', 'down', 'tell',
-             'ack', 'beaten', 'order', 'probe', 'statused', 'detach')
+    hears = (
+        'auth',
+        'register',
+        'beat',
+        'stamped',
+        'status',
+        'drain',
+        'down',
+        'tell',
+        'ack',
+        'beaten',
+        'order',
+        'probe',
+        'statused',
+        'detach',
+    )
 
     def __init__(self, b):
         super().__init__(b)
@@ -174,8 +188,11 @@
         """Tells a holder which links of its minions are here."""
         b = self.b
         if any(n == peer for n, _ in b.holders.values()):
-            lst = [{'minion': t.peer, 'link': t.link} for t in self.teths.values()
-                   if t.state == REGISTERED and self.holder(t.peer) == peer]
+            lst = [
+                {'minion': t.peer, 'link': t.link}
+                for t in self.teths.values()
+                if t.state == REGISTERED and self.holder(t.peer) == peer
+            ]
             b.send(peer, 'attach', edge=b.me, links=lst)
 
     def tick(self):
--- a/asterwharf/link/keeper.py
+++ b/asterwharf/link/keeper.py
@@ -7,8 +7,14 @@
 from asterwharf.link.agent import REGISTERED
 
 STARTING, RUNNING, HOLDING, HELD, RESUMING, STOPPING = 'starting', 'running', 'holding', 'held', 'resuming', 'stopping'
-STEPS = {STARTING: {RUNNING, STOPPING}, RUNNING: {HOLDING, STOPPING}, HOLDING: {HELD, STOPPING},
-         HELD: {RESUMING, STOPPING}, RESUMING: {RUNNING, STOPPING}, STOPPING: set()}
+STEPS = {
+    STARTING: {RUNNING, STOPPING},
+    RUNNING: {HOLDING, STOPPING},
+    HOLDING: {HELD, STOPPING},
+    HELD: {RESUMING, STOPPING},
+    RESUMING: {RUNNING, STOPPING},
+    STOPPING: set(),
+}
 TOMBS = 5000
 # of the time that stopping may take: how long the minion has to confirm a hold before it is told to stop
 PATIENCE = 0.4
@@ -35,7 +41,21 @@
 class Keeper(Controller):
     """Refuses older rounds, stale orders and what does not fit; tells endings until they are delivered."""
 
-    __slots__ = ('absent', 'agent', 'boot', 'can', 'drain', 'early', 'holds', 'n', 'opdrain', 'outbox', 'size', 'told', 'tombs')
+    __slots__ = (
+        'absent',
+        'agent',
+        'boot',
+        'can',
+        'drain',
+        'early',
+        'holds',
+        'n',
+        'opdrain',
+        'outbox',
+        'size',
+        'told',
+        'tombs',
+    )
     hears = ('order', 'statused')
 
     def __init__(self, b, agent, size):
@@ -102,7 +122,7 @@
         why = self._no(d, h)
         if why:
             self.b.count['refused'] += 1
-            self.agent.event('refused', f"{d['task']} round {d['round']}: {why}")
+            self.agent.event('refused', f'{d["task"]} round {d["round"]}: {why}')
             # what ended before keeps the ending it was told with
             if d['round'] > self.tombs.get(d['task'], 0):
                 self._bury(d['task'], d['round'])
--- a/asterwharf/orchard/gate.py
+++ b/asterwharf/orchard/gate.py
@@ -12,8 +12,17 @@
 TENANTS = 'this fleet has queues, no tenants: see /v1/queues/{queue}/jobs/{id}'
 CONFIG = 'this fleet has a queues document: see /v1/queues'
 HOLDS = 'a minion that calls in is given up by itself when its hold has run out'
-ELSEWHERE = {'submit': TENANTS, 'job': TENANTS, 'cancel': TENANTS, 'why': TENANTS, 'config_put': CONFIG, 'judge': CONFIG,
-             'gone': HOLDS, 'own': 'this fleet has one cell', 'import': 'this fleet has one cell'}
+ELSEWHERE = {
+    'submit': TENANTS,
+    'job': TENANTS,
+    'cancel': TENANTS,
+    'why': TENANTS,
+    'config_put': CONFIG,
+    'judge': CONFIG,
+    'gone': HOLDS,
+    'own': 'this fleet has one cell',
+    'import': 'this fleet has one cell',
+}
 
 
 class Gate(Views, Clerk):
@@ -40,7 +49,9 @@
             return give('same') if same else self._sure(cell, give, lambda: give('other_body'))
         if mac.open >= self.b.set.kept_jobs or len(cell.seat.waits) >= self.b.set.buffer:
             # a deposed holder must not refuse what its successor may have taken
-            return self._sure(cell, give, lambda: give('overload', NOBODY) if a['id'] not in mac.jobs else give('unsure'))
+            return self._sure(
+                cell, give, lambda: give('overload', NOBODY) if a['id'] not in mac.jobs else give('unsure')
+            )
         doc = {'id': a['id'], 'queue': [a['queue']], 'spec': a['spec'], 'sum': sm, 'at': cell.wall}
         return self._order(cell, 'y_submit', doc, give, lambda r: give(r))
 
@@ -50,6 +61,7 @@
             if j is None or j.queue != a['queue']:
                 return give('unknown_job')
             give('ok', {'state': j.state})
+
         self._sure(cell, give, fn)
 
     def do_y_cancel(self, a, give, cell):
@@ -57,7 +69,10 @@
             j = cell.mac.jobs.get(a['id'])
             if j is None or j.queue != a['queue']:
                 return give('unknown_job')
-            self._order(cell, 'y_cancel', {'id': a['id'], 'queue': a['queue'], 'at': cell.wall}, give, lambda r: give(r))
+            self._order(
+                cell, 'y_cancel', {'id': a['id'], 'queue': a['queue'], 'at': cell.wall}, give, lambda r: give(r)
+            )
+
         self._sure(cell, give, fn)
 
     def do_y_waiting(self, a, give, cell):
--- a/asterwharf/orchard/model.py
+++ b/asterwharf/orchard/model.py
@@ -10,7 +10,9 @@
     # a late end of a run given up may still decide
     READY: {RUN, DONE, FAILED, CANCELLED},
     RUN: {READY, DONE, FAILED, CANCELLED},
-    DONE: set(), FAILED: set(), CANCELLED: set(),
+    DONE: set(),
+    FAILED: set(),
+    CANCELLED: set(),
 }
 
 # how a run may end on a minion
@@ -32,8 +34,17 @@
         self.lapsed, self.spare, self.top = (), None, 0
 
     def dump(self):
-        return [self.state, self.run, self.mid, self.fails, self.save, int(self.stop), list(self.lapsed),
-                list(self.spare) if self.spare else [], self.top]
+        return [
+            self.state,
+            self.run,
+            self.mid,
+            self.fails,
+            self.save,
+            int(self.stop),
+            list(self.lapsed),
+            list(self.spare) if self.spare else [],
+            self.top,
+        ]
 
     def load(self, r):
         self.state, self.run, self.mid, self.fails, self.save = r[:5]
@@ -43,14 +54,37 @@
 class Step:
     """One step of one time of a job: tasks alike, and what they wait for."""
 
-    __slots__ = ('after', 'apart', 'copies', 'estimate', 'failrun', 'fails', 'job', 'k', 'label', 'lasts', 'left', 'n',
-                 'near', 'need', 'one_rack', 'ready', 'saves', 'tasks', 'together')
+    __slots__ = (
+        'after',
+        'apart',
+        'copies',
+        'estimate',
+        'failrun',
+        'fails',
+        'job',
+        'k',
+        'label',
+        'lasts',
+        'left',
+        'n',
+        'near',
+        'need',
+        'one_rack',
+        'ready',
+        'saves',
+        'tasks',
+        'together',
+    )
 
     def __init__(self, job, k, n):
         d = job.spec[n]
         self.job, self.k, self.n = job, k, n
         self.need = d.get('cpu', 0), d.get('mem', 0), d.get('gpus', 0)
-        self.after, self.together, self.one_rack = d.get('after') or (), bool(d.get('together')), bool(d.get('one_rack'))
+        self.after, self.together, self.one_rack = (
+            d.get('after') or (),
+            bool(d.get('together')),
+            bool(d.get('one_rack')),
+        )
         self.label, self.near, self.apart = d.get('label') or '', d.get('near') or '', d.get('apart') or 0
         self.copies, self.lasts, self.saves = bool(d.get('copies')), bool(d.get('lasts')), bool(d.get('saves'))
         self.estimate = d.get('estimate_ms') or 0
@@ -67,11 +101,53 @@
 class Job:
     """What a client handed in under an identifier of its own; `times` is 0 for work that is due at once."""
 
-    __slots__ = ('aim', 'at', 'begun', 'busy', 'done', 'end', 'every', 'fate', 'first', 'group', 'id', 'live', 'next',
-                 'payload', 'prio', 'queue', 'spec', 'stretch', 'sum', 'times', 'tries', 'why')
-
-    FIELDS = ('id', 'queue', 'group', 'prio', 'tries', 'stretch', 'aim', 'payload', 'spec', 'times', 'first', 'every',
-              'at', 'end', 'fate', 'why', 'begun', 'next', 'done', 'sum')
+    __slots__ = (
+        'aim',
+        'at',
+        'begun',
+        'busy',
+        'done',
+        'end',
+        'every',
+        'fate',
+        'first',
+        'group',
+        'id',
+        'live',
+        'next',
+        'payload',
+        'prio',
+        'queue',
+        'spec',
+        'stretch',
+        'sum',
+        'times',
+        'tries',
+        'why',
+    )
+
+    FIELDS = (
+        'id',
+        'queue',
+        'group',
+        'prio',
+        'tries',
+        'stretch',
+        'aim',
+        'payload',
+        'spec',
+        'times',
+        'first',
+        'every',
+        'at',
+        'end',
+        'fate',
+        'why',
+        'begun',
+        'next',
+        'done',
+        'sum',
+    )
 
     def __init__(self, **kws):
         for k in self.FIELDS:
@@ -96,14 +172,34 @@
 
     def dump(self):
         d = {k: getattr(self, k) for k in self.FIELDS}
-        d['live'] = [[k, [[s.fails, s.failrun, [t.dump() for t in s.tasks]] for s in sts]] for k, sts in self.live.items()]
+        d['live'] = [
+            [k, [[s.fails, s.failrun, [t.dump() for t in s.tasks]] for s in sts]] for k, sts in self.live.items()
+        ]
         return d
 
 
 def build(doc):
     """A job from a delivered submission."""
     s, q = doc['spec'], doc['queue'][0]
-    return Job(id=doc['id'], queue=q['name'], group=q['group'], prio=q.get('priority', 0), tries=q.get('tries', 1),
-               stretch=q.get('stretch', 1.0), aim=q.get('aim_ms', 0), payload=s.get('payload', ''), spec=s['steps'],
-               times=s.get('times') or 0, first=s.get('first_ms') or 0, every=s.get('every_ms') or 0, at=doc['at'],
-               end=0, fate='', why='', begun=False, next=0, done=0, sum=doc['sum'])
+    return Job(
+        id=doc['id'],
+        queue=q['name'],
+        group=q['group'],
+        prio=q.get('priority', 0),
+        tries=q.get('tries', 1),
+        stretch=q.get('stretch', 1.0),
+        aim=q.get('aim_ms', 0),
+        payload=s.get('payload', ''),
+        spec=s['steps'],
+        times=s.get('times') or 0,
+        first=s.get('first_ms') or 0,
+        every=s.get('every_ms') or 0,
+        at=doc['at'],
+        end=0,
+        fate='',
+        why='',
+        begun=False,
+        next=0,
+        done=0,
+        sum=doc['sum'],
+    )
--- a/asterwharf/orchard/mover.py
+++ b/asterwharf/orchard/mover.py
@@ -44,7 +44,9 @@
                 self._judge(l, stops) if gone is None else self._leave(l, stops, gone)
         self._push(stops)
         if stops:
-            self.cell.order('y_stop', {'at': self.cell.wall, 'items': [{'task': k, 'run': r} for k, r in stops.items()]})
+            self.cell.order(
+                'y_stop', {'at': self.cell.wall, 'items': [{'task': k, 'run': r} for k, r in stops.items()]}
+            )
 
     def _stop(self, t, stops, why):
         """A gang goes as one: its other members would only wait."""
@@ -108,7 +110,7 @@
     # --- urgent work
     def _push(self, stops):
         """Lesser work makes room for urgent work that has waited."""
-        mac, b, jdg = self.mac, self.b, self.placer.judge
+        mac, jdg = self.mac, self.placer.judge
         jdg.refill()
         n, done = 0, set()
         going = sum(t.stop for box in mac.on.values() for t in box.values() if not t.step.job.fate)
@@ -163,8 +165,13 @@
             if any(k in stops or t.stop for k, t in self.mac.on.get(mid, {}).items()):
                 continue
             got, cost = [], 0.0
-            mine = [(self._cost(t, p), t.key, t) for t, p in self._mine(l) if t.step.job.prio > s.job.prio and not (t.step.together or t.step.lasts)
-                    and self.placer.judge.may_evict(s, l, t)]
+            mine = [
+                (self._cost(t, p), t.key, t)
+                for t, p in self._mine(l)
+                if t.step.job.prio > s.job.prio
+                and not (t.step.together or t.step.lasts)
+                and self.placer.judge.may_evict(s, l, t)
+            ]
             for c, _, t in sorted(mine, key=lambda r: r[:2]):
                 if all(f >= d for f, d in zip(free, s.need)):
                     break
--- a/asterwharf/orchard/node.py
+++ b/asterwharf/orchard/node.py
@@ -38,8 +38,20 @@
     b.atlas, b.load, b.proto = Atlas(), load, proto
     core = Chair(b, 'core', Core(), load('core'))
     plt = b.cells[COMMONS] = Plot(b, load)
-    return Node(b, [core, *plt.all, Meet(b, [core, plt.chair]), Watch(b), Crier(b, core), Asker(b, core), Mender(b),
-                    Gate(b, core), Ferry(b)])
+    return Node(
+        b,
+        [
+            core,
+            *plt.all,
+            Meet(b, [core, plt.chair]),
+            Watch(b),
+            Crier(b, core),
+            Asker(b, core),
+            Mender(b),
+            Gate(b, core),
+            Ferry(b),
+        ],
+    )
 
 
 def edge(st, inc, rng, load, now, wall, proto=PROTO):
--- a/asterwharf/orchard/placer.py
+++ b/asterwharf/orchard/placer.py
@@ -62,6 +62,7 @@
             if term == self.term:
                 self.busy, self.stale = False, True
             self.b.count['placed'] += len(r[1]) if r is not None else 0
+
         self.busy = self.cell.order('y_start', {'at': self.cell.wall, 'bundles': bundles}, done)
         self.cell.flush()
 
@@ -81,7 +82,16 @@
         for s in self._order():
             waited = self.waited(s)
             # what found no room a moment ago leaves none for what asks for as much
-            key = (s.job.group, s.need, s.label, s.near, s.one_rack, len(s.tasks) if s.together else 0, s.apart and s, self.judge.key(s))
+            key = (
+                s.job.group,
+                s.need,
+                s.label,
+                s.near,
+                s.one_rack,
+                len(s.tasks) if s.together else 0,
+                s.apart and s,
+                self.judge.key(s),
+            )
             if n >= MOST or key in full:
                 continue
             got = rooms.gang(s, waited) if s.together else self._each(s, rooms, waited)
--- a/asterwharf/orchard/policy.py
+++ b/asterwharf/orchard/policy.py
@@ -8,8 +8,23 @@
 
 from asterwharf.scheduler import queues
 
-TASK = ('queue', 'priority', 'tries', 'count', 'cpu', 'mem', 'gpus', 'label', 'near', 'together', 'one_rack', 'apart', 'copies',
-        'lasts', 'saves')
+TASK = (
+    'queue',
+    'priority',
+    'tries',
+    'count',
+    'cpu',
+    'mem',
+    'gpus',
+    'label',
+    'near',
+    'together',
+    'one_rack',
+    'apart',
+    'copies',
+    'lasts',
+    'saves',
+)
 MINION = ('group', 'zone', 'rack', 'kind', 'labels', 'cpu', 'mem', 'gpus')
 FIELDS = {'task': TASK, 'minion': MINION, 'victim': TASK}
 # new cases judged in one turn: each takes about half a millisecond of the turn
@@ -24,9 +39,23 @@
 def task(s):
     """What a program sees of a step's task."""
     j = s.job
-    return {'queue': j.queue, 'priority': j.prio, 'tries': j.tries, 'count': len(s.tasks), 'cpu': s.need[0], 'mem': s.need[1],
-            'gpus': s.need[2], 'label': s.label, 'near': s.near, 'together': s.together, 'one_rack': s.one_rack, 'apart': s.apart,
-            'copies': s.copies, 'lasts': s.lasts, 'saves': s.saves}
+    return {
+        'queue': j.queue,
+        'priority': j.prio,
+        'tries': j.tries,
+        'count': len(s.tasks),
+        'cpu': s.need[0],
+        'mem': s.need[1],
+        'gpus': s.need[2],
+        'label': s.label,
+        'near': s.near,
+        'together': s.together,
+        'one_rack': s.one_rack,
+        'apart': s.apart,
+        'copies': s.copies,
+        'lasts': s.lasts,
+        'saves': s.saves,
+    }
 
 
 def facts(l):
@@ -93,6 +122,7 @@
     def _compiling(self, want):
         # a large library, read only where there are policies
         from asterwharf.scheduler import policy
+
         yield 1
         policy.warm()
         yield 1
@@ -199,7 +229,10 @@
             return 0.0 if prg == 'score' else False
         self.left -= 1
         mine['labels'] = list(mine['labels'])
-        wld = {'task': dict(zip(fds['task'], key[0] if vic is not None else key)), 'minion': {f: mine[f] for f in fds['minion']}}
+        wld = {
+            'task': dict(zip(fds['task'], key[0] if vic is not None else key)),
+            'minion': {f: mine[f] for f in fds['minion']},
+        }
         if vic is not None:
             wld['victim'] = {f: vic[f] for f in fds['victim']}
         r.cache[few,] = got = self._run(r.pol, prg, wld)
--- a/asterwharf/orchard/rooms.py
+++ b/asterwharf/orchard/rooms.py
@@ -13,7 +13,14 @@
     __slots__ = ('cpu', 'gpus', 'grade', 'kept', 'labels', 'link', 'mem', 'mid', 'rack', 'ready')
 
     def __init__(self, l, used):
-        self.mid, self.rack, self.labels, self.ready, self.grade, self.kept = l.mid, l.rack, l.labels, l.give is not None, 0.0, False
+        self.mid, self.rack, self.labels, self.ready, self.grade, self.kept = (
+            l.mid,
+            l.rack,
+            l.labels,
+            l.give is not None,
+            0.0,
+            False,
+        )
         self.link, (c, m, g) = l, l.room
         self.cpu, self.mem, self.gpus = (c - used[0], m - used[1], g - used[2]) if used else (c, m, g)
 
--- a/asterwharf/orchard/views.py
+++ b/asterwharf/orchard/views.py
@@ -58,18 +58,24 @@
         def fn():
             j = cell.mac.jobs.get(a['id'])
             if j is None or j.queue != a['queue']:
-                return give('unknown_job', {'details': [f"id: {a['id']!r}"]})
+                return give('unknown_job', {'details': [f'id: {a["id"]!r}']})
             self.b.chore(self._job(j), lambda doc: give('ok', doc))
+
         self._sure(cell, give, fn)
 
     def _job(self, j):
-        out = dict(brief(j), group=j.group, priority=j.prio, tries=j.tries, times=j.times, times_done=j.done, payload=j.payload)
+        out = dict(
+            brief(j), group=j.group, priority=j.prio, tries=j.tries, times=j.times, times_done=j.done, payload=j.payload
+        )
         rooms, steps, runs = Rooms(self.plot.placer), [], []
         for k, sts in list(j.live.items())[:ROWS]:
             for s in sts:
                 cnt = Counter(t.state for t in s.tasks)
-                steps.append({'time': k, 'step': s.n, 'count': len(s.tasks)} | {NAMES[i]: cnt[i] for i in range(len(NAMES)) if cnt[i]}
-                             | {'why': self.why(s, rooms)})
+                steps.append(
+                    {'time': k, 'step': s.n, 'count': len(s.tasks)}
+                    | {NAMES[i]: cnt[i] for i in range(len(NAMES)) if cnt[i]}
+                    | {'why': self.why(s, rooms)}
+                )
                 for t in s.tasks:
                     if t.state == RUN and len(runs) < RUNS:
                         runs += self._runs(t)
@@ -105,8 +111,16 @@
             return 'its policy is being judged' if plc.judge.short else 'its policy lets it land on no minion'
         ok = {r.mid for r in rooms.by.get(s.job.group, ())}
         if not any(l.mid in ok for l in fit):
-            out = Counter('drained' if l.drain or l.mid in plc.mac.drains else 'in an emptied zone' if l.zone in b.atlas.emptied
-                          else 'out of touch' if not plc.tender.open(l) else 'suspect' for l in fit)
+            out = Counter(
+                'drained'
+                if l.drain or l.mid in plc.mac.drains
+                else 'in an emptied zone'
+                if l.zone in b.atlas.emptied
+                else 'out of touch'
+                if not plc.tender.open(l)
+                else 'suspect'
+                for l in fit
+            )
             return 'minions ' + ', '.join(f'{w}: {n}' for w, n in sorted(out.items()))
         if s.together and not s.whole:
             return 'waits until every member is free'
@@ -120,7 +134,9 @@
             return 'waits for room in one rack' if s.one_rack else 'about to be placed'
         if rooms.fit(s, waited):
             return 'about to be placed'
-        if s.near and any(r.rack != s.near and r.fits(s.need) and (not s.label or s.label in r.labels) for r in rooms.by[s.job.group]):
+        if s.near and any(
+            r.rack != s.near and r.fits(s.need) and (not s.label or s.label in r.labels) for r in rooms.by[s.job.group]
+        ):
             return f'waits for room in rack {s.near}'
         return f'no room on {sum(l.mid in ok for l in fit)} minions'
 
@@ -130,7 +146,7 @@
 
     def _minions(self, a, cell):
         rows, names = [], sorted(self.links.keys() | cell.mac.on.keys() | cell.mac.drains.keys())
-        for n, mid in enumerate(names[:a.get('most') or len(names)], 1):
+        for n, mid in enumerate(names[: a.get('most') or len(names)], 1):
             rows.append(self.minion(mid, cell))
             if n % SLICE == 0:
                 yield n
@@ -140,14 +156,29 @@
         """One row; a minion that this holder has not heard yet has no room."""
         mac, now, l = cell.mac, self.b.now, self.links.get(mid)
         by, since, until = mac.drains.get(mid, ('', 0, 0))
-        row = {'name': mid, 'link': l.state if l else 'unheard', 'up': l is not None and l.state in (REGISTERING, REGISTERED),
-               'draining': bool(by or (l and l.drain)), 'drained_by': by or ('minion' if l and l.drain else ''), 'drained_at': since,
-               'evict_at': until, 'suspect': mid in self.plot.placer.health.until, 'tasks': len(mac.on.get(mid, ()))}
+        row = {
+            'name': mid,
+            'link': l.state if l else 'unheard',
+            'up': l is not None and l.state in (REGISTERING, REGISTERED),
+            'draining': bool(by or (l and l.drain)),
+            'drained_by': by or ('minion' if l and l.drain else ''),
+            'drained_at': since,
+            'evict_at': until,
+            'suspect': mid in self.plot.placer.health.until,
+            'tasks': len(mac.on.get(mid, ())),
+        }
         if l is None:
             return row | {'group': '', 'zone': '', 'labels': [], 'free': {}}
         use = mac.used.get(mid, (0, 0, 0))
-        row |= {'group': l.group, 'zone': l.zone, 'rack': l.rack, 'kind': l.kind, 'labels': list(l.labels), 'beat_ms_ago': now - l.recv,
-                'strays': len(self.plot.tender.strays(l))}
+        row |= {
+            'group': l.group,
+            'zone': l.zone,
+            'rack': l.rack,
+            'kind': l.kind,
+            'labels': list(l.labels),
+            'beat_ms_ago': now - l.recv,
+            'strays': len(self.plot.tender.strays(l)),
+        }
         row |= dict(zip(('cpu', 'mem', 'gpus'), l.room))
         if l.leaves:
             row['leaves_in_ms'] = max(0, l.leaves - now)
@@ -160,8 +191,14 @@
                 return give('unknown_minion', {'details': [f'minion: {mid!r}']})
             at = cell.wall
             till = at + a['within'] if a['on'] and a.get('within') is not None else 0
-            self._order(cell, 'y_drain', {'minion': mid, 'on': a['on'], 'by': a.get('by') or 'operator', 'at': at, 'until': till}, give,
-                        lambda r: give(r, {'minion': mid, 'draining': a['on'], 'evict_at': till}))
+            self._order(
+                cell,
+                'y_drain',
+                {'minion': mid, 'on': a['on'], 'by': a.get('by') or 'operator', 'at': at, 'until': till},
+                give,
+                lambda r: give(r, {'minion': mid, 'draining': a['on'], 'evict_at': till}),
+            )
+
         # a holder that was deposed knows less minions than its successor
         self._sure(cell, give, fn)
 
@@ -174,7 +211,7 @@
         for mid in sorted(cell.mac.on):
             box = list(cell.mac.on.get(mid, {}).values())
             total += len(box)
-            for t in sorted(box, key=lambda t: t.key)[:most - len(rows)]:
+            for t in sorted(box, key=lambda t: t.key)[: most - len(rows)]:
                 rows.append(self.claim(t, mid, cell))
             n += len(box)
             if n >= SLICE:
@@ -188,9 +225,16 @@
         p = l.prog.get(t.key) if l else None
         p = p if p and p[4] == run else None
         off = t.stop or bool(t.step.job.fate)
-        return {'task': t.key, 'queue': t.step.job.queue, 'run': run, 'minion': mid, 'copy': run != t.run,
-                'state': 'stopping' if off else 'running' if p else 'starting', 'since': cell.wall - (self.b.now - p[0]) if p else 0,
-                'percent': p[3] if p else 0}
+        return {
+            'task': t.key,
+            'queue': t.step.job.queue,
+            'run': run,
+            'minion': mid,
+            'copy': run != t.run,
+            'state': 'stopping' if off else 'running' if p else 'starting',
+            'since': cell.wall - (self.b.now - p[0]) if p else 0,
+            'percent': p[3] if p else 0,
+        }
 
     def _runs(self, t):
         cell = self.plot.chair
@@ -204,7 +248,10 @@
         rows = {}
 
         def row(j):
-            return rows.setdefault(j.queue, dict.fromkeys(('waiting', 'running', 'ended', 'tasks_ready', 'tasks_running'), 0))
+            return rows.setdefault(
+                j.queue, dict.fromkeys(('waiting', 'running', 'ended', 'tasks_ready', 'tasks_running'), 0)
+            )
+
         for n, j in enumerate(list(mac.jobs.values()), 1):
             row(j)['ended' if j.over else 'running' if j.begun or j.fate else 'waiting'] += 1
             if n % SLICE == 0:
@@ -233,15 +280,41 @@
             if n % SLICE == 0:
                 yield n
         at = self.b.atlas.rows
-        return {'zones': [{'zone': z, 'cell': cell.grp, 'emptied': z in empty, 'since': int(at[f'empty:{z}'][1]) if z in empty else 0,
-                           'evict_at': 0, 'now': cell.wall} | {k: rows.get(z, {}).get(k, 0) for k in ('minions', 'up', 'tasks', 'stopping')}
-                          for z in sorted(rows.keys() | empty) if z]}
+        return {
+            'zones': [
+                {
+                    'zone': z,
+                    'cell': cell.grp,
+                    'emptied': z in empty,
+                    'since': int(at[f'empty:{z}'][1]) if z in empty else 0,
+                    'evict_at': 0,
+                    'now': cell.wall,
+                }
+                | {k: rows.get(z, {}).get(k, 0) for k in ('minions', 'up', 'tasks', 'stopping')}
+                for z in sorted(rows.keys() | empty)
+                if z
+            ]
+        }
 
     def do_cells(self, a, give, cell):
         def fn():
             seats = self.plot.chair.seat.log.seats
-            give('ok', {'cells': [{'name': 'commons', 'group': 'commons', 'seats': sorted(seats), 'owns': [], 'going': False,
-                                   'holder': self.b.holders.get('commons', ('',))[0]}]})
+            give(
+                'ok',
+                {
+                    'cells': [
+                        {
+                            'name': 'commons',
+                            'group': 'commons',
+                            'seats': sorted(seats),
+                            'owns': [],
+                            'going': False,
+                            'holder': self.b.holders.get('commons', ('',))[0],
+                        }
+                    ]
+                },
+            )
+
         self._sure(cell, give, fn)
 
 
@@ -250,7 +323,15 @@
     tsk = left = 0
     for sts in j.live.values():
         tsk, left = tsk + sum(len(s.tasks) for s in sts), left + sum(s.left for s in sts)
-    out = {'queue': j.queue, 'id': j.id, 'state': j.state, 'submitted_at': j.at, 'tasks': tsk, 'done': tsk - left, 'busy': j.busy}
+    out = {
+        'queue': j.queue,
+        'id': j.id,
+        'state': j.state,
+        'submitted_at': j.at,
+        'tasks': tsk,
+        'done': tsk - left,
+        'busy': j.busy,
+    }
     if j.end:
         out['ended_at'] = j.end
     return out
--- a/asterwharf/orchard/yard.py
+++ b/asterwharf/orchard/yard.py
@@ -1,8 +1,8 @@
 """The state machine of the cell whose minions call in: jobs and runs, changed only by delivered changes. Pure."""
 
+from asterwharf.orchard import kinds  # noqa: F401
 from asterwharf.orchard.drains import DRAIN, Drains
 from asterwharf.orchard.model import CANCELLED, DONE, FAILED, FINAL, READY, RUN, STEPS, WAIT, Job, Step, build
-from asterwharf.orchard import kinds  # noqa: F401
 from asterwharf.wire.schema import PROTO, pack, unpack
 
 ROW = 'r_yard'
@@ -11,7 +11,20 @@
 class Yard(Drains):
     """Applies changes in the group's one order; the same on every seat."""
 
-    __slots__ = ('changed', 'dirty', 'ended', 'floor', 'jobs', 'on', 'open', 'reads', 'ready', 'timed', 'used', 'waiting')
+    __slots__ = (
+        'changed',
+        'dirty',
+        'ended',
+        'floor',
+        'jobs',
+        'on',
+        'open',
+        'reads',
+        'ready',
+        'timed',
+        'used',
+        'waiting',
+    )
 
     def __init__(self):
         self.reads = self.floor = PROTO
@@ -49,7 +62,9 @@
 
     def delta(self):
         """Rows changed since the last call; None where a row is no more."""
-        out = {f'job:{i}': pack(ROW, {'v': self.jobs[i].dump()}) if i in self.jobs else None for i in sorted(self.dirty)}
+        out = {
+            f'job:{i}': pack(ROW, {'v': self.jobs[i].dump()}) if i in self.jobs else None for i in sorted(self.dirty)
+        }
         self.dirty = set()
         return out | self.drain_rows()
 
@@ -257,8 +272,10 @@
         s = its[0][0].step
         if not s.together:
             # a copy runs beside the first run, on another minion, and only once
-            return all(t.state == READY or (t.state == RUN and s.copies and not t.spare and not t.stop and t.mid != m)
-                       for t, _, m in its)
+            return all(
+                t.state == READY or (t.state == RUN and s.copies and not t.spare and not t.stop and t.mid != m)
+                for t, _, m in its
+            )
         return s.ready == len(s.tasks) == len(its) and len({r for _, r, _ in its}) == 1
 
     def y_stop(self, d):
--- a/asterwharf/ring/meet.py
+++ b/asterwharf/ring/meet.py
@@ -14,7 +14,14 @@
 
     def __init__(self, b, chairs=()):
         super().__init__(b)
-        self.chairs, self.dialed, self.empties, self.told, self.seen, self.doors = list(chairs), {}, {}, -1 << 40, None, []
+        self.chairs, self.dialed, self.empties, self.told, self.seen, self.doors = (
+            list(chairs),
+            {},
+            {},
+            -1 << 40,
+            None,
+            [],
+        )
         # when whole rolls were given last; whether rows have changed since
         self.gave, self.new = -1 << 40, True
         b.nodes[b.me] = b.row()
@@ -35,7 +42,8 @@
         core = [r['addr'] for n, r in b.nodes.items() if (r['role'] == 'trellis' or n in far) and n not in b.links]
         # a seed is only a place to ask: it is left alone once the core is known and in reach
         known = len(b.of('trellis')) >= b.set.core_size and not any(
-            b.nodes[n]['role'] == 'trellis' for n in b.nodes if n not in b.links and n != b.me)
+            b.nodes[n]['role'] == 'trellis' for n in b.nodes if n not in b.links and n != b.me
+        )
         return [a for a in core + ([] if known else list(b.set.seeds)) if a not in here]
 
     def tick(self):
@@ -86,9 +94,16 @@
         """Who holds what, and whether this node is empty; with `rows` also of every node that is known."""
         b = self.b
         met = {b.me: b.inc} | {n: e['inc'] for n, e in self._others().items()} if self.empty else {}
-        b.send(peer, 'roll', node=[r for r in b.nodes.values() if r['role'] != 'tend'] if rows else [], empty=self.empty, inc=b.inc,
-               known=sorted(f'{n}#{i}' for n, i in met.items()), met=sorted(b.links) if rows else [],
-               holders={g: list(h) for g, h in b.holders.items()})
+        b.send(
+            peer,
+            'roll',
+            node=[r for r in b.nodes.values() if r['role'] != 'tend'] if rows else [],
+            empty=self.empty,
+            inc=b.inc,
+            known=sorted(f'{n}#{i}' for n, i in met.items()),
+            met=sorted(b.links) if rows else [],
+            holders={g: list(h) for g, h in b.holders.items()},
+        )
 
     def _learn(self, row, met=()):
         b = self.b
--- a/asterwharf/scheduler/cell.py
+++ b/asterwharf/scheduler/cell.py
@@ -5,8 +5,25 @@
 
 from asterwharf.scheduler.claims import Claims
 from asterwharf.scheduler.handover import MARKS, Handover
-from asterwharf.scheduler.model import (BUSY, CANCELLED, DONE, EXPIRED, FAILED, FINAL, PLACED, READY, RECOVERING, RUNNING,
-                                        STEPS, STOPPING, WAITING, Job, Minion, Task, build)
+from asterwharf.scheduler.model import (
+    BUSY,
+    CANCELLED,
+    DONE,
+    EXPIRED,
+    FAILED,
+    FINAL,
+    PLACED,
+    READY,
+    RECOVERING,
+    RUNNING,
+    STEPS,
+    STOPPING,
+    WAITING,
+    Job,
+    Minion,
+    Task,
+    build,
+)
 from asterwharf.wire.schema import PROTO, speaks, unpack
 from asterwharf.wire.schema import pack as _pack
 
--- a/asterwharf/scheduler/claims.py
+++ b/asterwharf/scheduler/claims.py
@@ -56,8 +56,16 @@
             if fresh:
                 new.setdefault(s, ned)
         m.strays = new
-        return [{'task': s.rpartition('#')[0], 'round': int(s.rpartition('#')[2]), 'want': 'stop', 'need': None,
-                 'run': None} for s in new]
+        return [
+            {
+                'task': s.rpartition('#')[0],
+                'round': int(s.rpartition('#')[2]),
+                'want': 'stop',
+                'need': None,
+                'run': None,
+            }
+            for s in new
+        ]
 
     def _size(self, k):
         t = self.tasks.get(k)
@@ -112,7 +120,7 @@
 
     def _item(self, m, link, i, unheard):
         t = self.tasks.get(i['task'])
-        if i['what'] in ENDS and m.strays.pop(f"{i['task']}#{i['round']}", None) is not None:
+        if i['what'] in ENDS and m.strays.pop(f'{i["task"]}#{i["round"]}', None) is not None:
             self.dirty.add(f'minion:{m.name}')
         if t is None:
             return
@@ -127,7 +135,7 @@
         self._tell(m, link, t, i)
 
     def _late(self, m, t, i, unheard):
-        txt = f"{i['round']}@{m.name}: {i['what']}"
+        txt = f'{i["round"]}@{m.name}: {i["what"]}'
         # told again: its first telling was counted already
         if any(h.startswith(txt) for h in t.hist):
             return
@@ -158,4 +166,4 @@
         if wht == 'refused':
             self.seen.append((m.name, t.key, False))
             t.avoid = (t.avoid + [m.name])[-3:]
-        self.lost(t, f"{wht}: {i['why']}" if i['why'] else wht, at)
+        self.lost(t, f'{wht}: {i["why"]}' if i['why'] else wht, at)
--- a/asterwharf/scheduler/config.py
+++ b/asterwharf/scheduler/config.py
@@ -75,14 +75,29 @@
 class Config:
     """A checked document and its compiled policies."""
 
-    __slots__ = ('_by', 'cells', 'classes', 'doc', 'emptied', 'limits', 'packed', 'policies', 'raw', 'sequence', 'tenants', 'zones')
+    __slots__ = (
+        '_by',
+        'cells',
+        'classes',
+        'doc',
+        'emptied',
+        'limits',
+        'packed',
+        'policies',
+        'raw',
+        'sequence',
+        'tenants',
+        'zones',
+    )
 
     def __init__(self, doc, raw, pols, seq):
         self.doc, self.raw, self.policies, self.sequence, self.packed = doc, raw, pols, seq, b''
         self.zones, self.tenants, self.limits = doc.zones, doc.tenants, doc.limits
         self.classes = {'default': Class()} | doc.classes
         self.emptied, self.cells = frozenset(z for z, v in doc.zones.items() if v.emptied), doc.cells
-        self._by = {(k, x): n for n, c in doc.cells.items() for k in ('tenants', 'zones', 'minions') for x in getattr(c, k)}
+        self._by = {
+            (k, x): n for n, c in doc.cells.items() for k in ('tenants', 'zones', 'minions') for x in getattr(c, k)
+        }
 
     def cell_of_tenant(self, ten):
         return self._by.get(('tenants', ten), 'commons')
--- a/asterwharf/scheduler/core.py
+++ b/asterwharf/scheduler/core.py
@@ -6,7 +6,6 @@
 from asterwharf.scheduler.atlas import Atlas
 from asterwharf.wire.schema import PROTO, pack, unpack
 
-
 # accepted queues documents whose orders are remembered, so that a repeated one is answered as the first was
 KEPT = 64
 
@@ -98,7 +97,7 @@
         """Nothing more starts on the minions of an emptied zone, until it is taken back."""
         # a repeated order finds it done, and no row is made of a zone that was never emptied
         if (d['zone'] in self.atlas.emptied) != d['emptied']:
-            self._put(op, f"empty:{d['zone']}", str(d['at']).encode() if d['emptied'] else b'')
+            self._put(op, f'empty:{d["zone"]}', str(d['at']).encode() if d['emptied'] else b'')
         return True
 
     def c_node(self, op, d):
@@ -127,5 +126,5 @@
             return True
         if cur != d['was']:
             return False
-        self._put(op, f"own:{d['what']}", d['cell'].encode())
+        self._put(op, f'own:{d["what"]}', d['cell'].encode())
         return True
--- a/asterwharf/scheduler/emptier.py
+++ b/asterwharf/scheduler/emptier.py
@@ -37,12 +37,18 @@
         self.due = b.now + int(b.set.view.silence_ms * PACE)
         mac, at = self.cell.mac, self.cell.wall
         over = [m for m in mac.minions.values() if m.up and 0 < deadline(m, cfg) <= at]
-        items = [{'task': k, 'round': mac.tasks[k].round} for m in over for k in m.load
-                 if mac.tasks[k].state in (PLACED, RUNNING)][:MOST]
+        items = [
+            {'task': k, 'round': mac.tasks[k].round}
+            for m in over
+            for k in m.load
+            if mac.tasks[k].state in (PLACED, RUNNING)
+        ][:MOST]
         if not items:
             return
         b.count['emptied'] += len(items)
-        self.busy = self.cell.order('t_evict', {'at': at, 'why': 'its minion is to be empty', 'items': items}, self._done)
+        self.busy = self.cell.order(
+            't_evict', {'at': at, 'why': 'its minion is to be empty', 'items': items}, self._done
+        )
 
     def _done(self, r):
         self.busy = False
@@ -54,6 +60,17 @@
     for n, z in sorted(cfg.zones.items()):
         ms = [m for m in mac.minions.values() if m.zone == n]
         tks = [mac.tasks[k] for m in ms for k in m.load]
-        out.append({'zone': n, 'cell': grp, 'emptied': z.emptied, 'evict_at': z.evict_at, 'now': at, 'minions': len(ms),
-                    'up': sum(m.up for m in ms), 'tasks': len(tks), 'stopping': sum(t.state == 'stopping' for t in tks)})
+        out.append(
+            {
+                'zone': n,
+                'cell': grp,
+                'emptied': z.emptied,
+                'evict_at': z.evict_at,
+                'now': at,
+                'minions': len(ms),
+                'up': sum(m.up for m in ms),
+                'tasks': len(tks),
+                'stopping': sum(t.state == 'stopping' for t in tks),
+            }
+        )
     return out
--- a/asterwharf/scheduler/evict.py
+++ b/asterwharf/scheduler/evict.py
@@ -21,8 +21,13 @@
         if plc.allowed(t, m, cfg):
             continue
         # whatever the policies say, only lesser work goes: two policies can't push each other out for ever
-        cand = [v for v in (plc.mac.tasks[k] for k in m.load) if v.state in (PLACED, RUNNING) and priority(cfg, v) < own
-                and plc.judged(pol.may_evict, pol, dict(plc.world(t, m, cfg), victim=_victim(v, cfg)))]
+        cand = [
+            v
+            for v in (plc.mac.tasks[k] for k in m.load)
+            if v.state in (PLACED, RUNNING)
+            and priority(cfg, v) < own
+            and plc.judged(pol.may_evict, pol, dict(plc.world(t, m, cfg), victim=_victim(v, cfg)))
+        ]
         cand.sort(key=lambda v: (priority(cfg, v), bool(v.gang), -v.start, v.key))
         c, g, x = m.free
         got = []
@@ -39,8 +44,15 @@
 
 
 def _victim(v, cfg):
-    return {'class': v.job.cls, 'tenant': v.job.tenant, 'cores': float(v.cores), 'gpus': v.gpus, 'mem': v.mem,
-            'gang': v.gang, 'priority': priority(cfg, v)}
+    return {
+        'class': v.job.cls,
+        'tenant': v.job.tenant,
+        'cores': float(v.cores),
+        'gpus': v.gpus,
+        'mem': v.mem,
+        'gang': v.gang,
+        'priority': priority(cfg, v),
+    }
 
 
 def evicting(mac):
@@ -65,4 +77,3 @@
             # no minion is large enough: it may wait, but it holds nothing back
             return []
     return got
-
--- a/asterwharf/scheduler/ferry.py
+++ b/asterwharf/scheduler/ferry.py
@@ -3,11 +3,37 @@
 from asterwharf.base.board import Controller
 
 # errands that change nothing may be given up on with "come again"; the others only with "unsure"
-READS = frozenset(('job', 'y_state', 'y_waiting', 'y_job', 'counts', 'import', 'own', 'jobs', 'minions', 'zones', 'minion', 'claims', 'config_get', 'queues_get', 'emptied', 'nodes', 'cells', 'why', 'seats', 'history', 'judge'))
+READS = frozenset(
+    (
+        'job',
+        'y_state',
+        'y_waiting',
+        'y_job',
+        'counts',
+        'import',
+        'own',
+        'jobs',
+        'minions',
+        'zones',
+        'minion',
+        'claims',
+        'config_get',
+        'queues_get',
+        'emptied',
+        'nodes',
+        'cells',
+        'why',
+        'seats',
+        'history',
+        'judge',
+    )
+)
 
 
 # refusals that another holder might not have given
-REFUSALS = frozenset(('tenant_full', 'overload', 'unknown_tenant', 'beyond_limits', 'bad_size', 'bad_field', 'stale', 'bad_config'))
+REFUSALS = frozenset(
+    ('tenant_full', 'overload', 'unknown_tenant', 'beyond_limits', 'bad_size', 'bad_field', 'stale', 'bad_config')
+)
 
 
 class Trip:
@@ -35,7 +61,7 @@
         at = self.b.atlas
         if 'tenant' in args:
             return at.tenant(args['tenant'])
-        return at.own.get(f"minion:{args.get('minion')}", 'commons')
+        return at.own.get(f'minion:{args.get("minion")}', 'commons')
 
     def _lit(self, grp):
         n = self.b.holders.get(grp, ('', 0))[0]
@@ -60,7 +86,10 @@
         grp = self._group(op, args) if was else grp
         # where no holder has been in reach for long, that is said at once and not when the errand's time is up
         if self.dark.get(grp, b.now) < b.now - b.set.view.silence_ms * 2 and not self._lit(grp):
-            return then('no_holder', {'retry_ms': 1000 + int(b.rng.random() * 3000), 'details': [f'the cell {grp} is out of reach']})
+            return then(
+                'no_holder',
+                {'retry_ms': 1000 + int(b.rng.random() * 3000), 'details': [f'the cell {grp} is out of reach']},
+            )
         self.n += 1
         t = Trip(f'{b.me}.{b.inc}.{self.n}', grp, op, args, b.now + (ttl or b.set.errand_ms), then)
         t.cell = bool(was)
@@ -84,11 +113,13 @@
             if bad:
                 out['missing'] = sorted(g for g, _, _ in bad)
             then('ok', out)
+
         for g in grps:
             self.start(op, g, args, lambda c, b, g=g: one(g, c, b))
 
     def _both(self, op, args, then):
         """Asks the core and, once that says yes, the commons, whose seats are on the same machines."""
+
         def core(code, body):
             if code not in ('ok', 'under_way'):
                 return then(code, body)
@@ -97,7 +128,9 @@
                 both = {'groups': (body or {}).get('groups', []) + (body2 or {}).get('groups', [])}
                 late = code if code2 == 'ok' else code2
                 then(late, dict(body2 or {}, **both))
+
             self.start(op, 'commons', dict(args, sure=True), com)
+
         self.start(op, 'core', args, core)
 
     def _pick(self, t, hint=''):
--- a/asterwharf/scheduler/garden.py
+++ b/asterwharf/scheduler/garden.py
@@ -23,8 +23,14 @@
     def __init__(self, b, gid, among=()):
         self.chair = Chair(b, gid, Cell(), b.load(gid), among)
         self.placer = Placer(b, self.chair)
-        self.all = (self.chair, Steward(b, self.chair), self.placer, Janitor(b, self.chair), Mover(b, self.chair),
-                    Emptier(b, self.chair))
+        self.all = (
+            self.chair,
+            Steward(b, self.chair),
+            self.placer,
+            Janitor(b, self.chair),
+            Mover(b, self.chair),
+            Emptier(b, self.chair),
+        )
 
 
 class Garden(Controller):
@@ -94,7 +100,9 @@
         if spec.seats:
             nms = [n for n in spec.seats if n in seen]
             return {n: seen[n]['inc'] for n in nms} if len(nms) == len(spec.seats) else {}
-        nms = sorted((n for n, h in seen.items() if h['zone'] in spec.zones), key=lambda n: (seen[n]['role'] != 'trellis', n))
+        nms = sorted(
+            (n for n, h in seen.items() if h['zone'] in spec.zones), key=lambda n: (seen[n]['role'] != 'trellis', n)
+        )
         return {n: seen[n]['inc'] for n in nms[:SEATS]}
 
 
@@ -148,8 +156,13 @@
         last = (n + 1) * PART >= len(rows)
         if n < 0:
             return self._own(f'tenant:{ten}', par['to'])
-        args = {'tenant': ten, 'was': self.cell.grp, 'part': n, 'last': last,
-                'rows': [base64.b64encode(r['v']).decode() for r in rows[n * PART:(n + 1) * PART]]}
+        args = {
+            'tenant': ten,
+            'was': self.cell.grp,
+            'part': n,
+            'last': last,
+            'rows': [base64.b64encode(r['v']).decode() for r in rows[n * PART : (n + 1) * PART]],
+        }
 
         def got(code, body):
             self.busy.discard(ten)
@@ -157,6 +170,7 @@
             if code == 'ok':
                 # a new holder here begins again; the new cell says how far it is
                 self.parts[ten] = -1 if last and body['part'] >= n else body['part'] + 1
+
         self.busy.add(ten)
         self.b.node.find(Ferry).start('import', par['to'], args, got)
 
@@ -169,6 +183,7 @@
             if code == 'ok' or (code == 'stale' and body.get('cell') == to):
                 self.parts.pop(what.partition(':')[2], None)
                 self.cell.order('t_handed', {'what': what})
+
         self.busy.add(what)
         was = self.b.atlas.own.get(what, '')
         self.b.node.find(Ferry).start('own', 'core', {'what': what, 'was': was, 'cell': to}, got)
--- a/asterwharf/scheduler/handover.py
+++ b/asterwharf/scheduler/handover.py
@@ -27,6 +27,7 @@
     def t_release(self, d):
         """Everything of the tenant goes into a parcel; this cell answers for it no more."""
         from asterwharf.scheduler.cell import pack_job
+
         ten = d['tenant']
         if self.leaving.get(ten) != d['to'] or self.running(ten) or ten in self.parcels:
             return False
--- a/asterwharf/scheduler/janitor.py
+++ b/asterwharf/scheduler/janitor.py
@@ -32,4 +32,5 @@
         def done(r):
             # the rest goes in the next turn, not in five seconds
             self.busy, self.due = False, b.now if r and len(keys) == MOST else self.due
+
         self.busy = self.cell.order('t_forget', {'keys': keys}, done)
--- a/asterwharf/scheduler/jobs.py
+++ b/asterwharf/scheduler/jobs.py
@@ -58,7 +58,12 @@
     bad = []
     for i, t in enumerate(tks):
         p = f'tasks[{i}]'
-        for k, low, top in (('cores', 0, lim.cores), ('gpus', 0, lim.gpus), ('mem', 0, lim.mem), ('tries', 1, lim.tries)):
+        for k, low, top in (
+            ('cores', 0, lim.cores),
+            ('gpus', 0, lim.gpus),
+            ('mem', 0, lim.mem),
+            ('tries', 1, lim.tries),
+        ):
             v = getattr(t, k)
             if not low <= v <= top:
                 bad.append(f'{p}.{k}: {v} is not between {low} and {top}')
--- a/asterwharf/scheduler/model.py
+++ b/asterwharf/scheduler/model.py
@@ -2,8 +2,14 @@
 
 from asterwharf.base.fields import Field, Plot
 
-WAITING, READY, PLACED, RUNNING, RECOVERING, STOPPING = ('waiting', 'ready', 'placed', 'running', 'recovering',
-                                                          'stopping')
+WAITING, READY, PLACED, RUNNING, RECOVERING, STOPPING = (
+    'waiting',
+    'ready',
+    'placed',
+    'running',
+    'recovering',
+    'stopping',
+)
 DONE, FAILED, CANCELLED = 'done', 'failed', 'cancelled'
 # why a round was given up with no word of how it ended
 EXPIRED, GONE = 'grace expired', 'its minion was stated gone'
@@ -19,7 +25,9 @@
     RUNNING: {READY, RECOVERING, STOPPING, DONE, FAILED},
     RECOVERING: {PLACED, RUNNING, READY, STOPPING, DONE, FAILED},
     STOPPING: {READY, DONE, FAILED, CANCELLED},
-    DONE: set(), FAILED: set(), CANCELLED: set(),
+    DONE: set(),
+    FAILED: set(),
+    CANCELLED: set(),
 }
 
 
@@ -152,9 +160,18 @@
     """A job from a checked specification."""
     tks = {}
     for d in spec['tasks']:
-        t = Task(name=d['name'], after=list(d.get('after', ())), due=d.get('due', 0) or 0, cores=d.get('cores', 1),
-                 gpus=d.get('gpus', 0), mem=d.get('mem', 0), tries=d.get('tries', 3), gang=d.get('gang', ''),
-                 run=d.get('run'), zones=list(d.get('zones', ())))
+        t = Task(
+            name=d['name'],
+            after=list(d.get('after', ())),
+            due=d.get('due', 0) or 0,
+            cores=d.get('cores', 1),
+            gpus=d.get('gpus', 0),
+            mem=d.get('mem', 0),
+            tries=d.get('tries', 3),
+            gang=d.get('gang', ''),
+            run=d.get('run'),
+            zones=list(d.get('zones', ())),
+        )
         tks[t.name] = t
     j = Job(tenant=tenant, id=jid, sum=dig, cls=spec['class'], at=at, tasks=tks).bind()
     for t in tks.values():
--- a/asterwharf/scheduler/news.py
+++ b/asterwharf/scheduler/news.py
@@ -48,8 +48,9 @@
     def _say(self, src, nid, ok, full=False, rows=()):
         c = self.chair.mac.conf
         hnt = self.b.holders.get('core', ('', 0))[0]
-        self.b.send(src, 'news', id=nid, ok=ok, sequence=c['sequence'], doc=c['doc'] if full else b'', hint=hnt,
-                    rows=list(rows))
+        self.b.send(
+            src, 'news', id=nid, ok=ok, sequence=c['sequence'], doc=c['doc'] if full else b'', hint=hnt, rows=list(rows)
+        )
 
     def lost(self, peer):
         self.askers.pop(peer, None)
@@ -146,4 +147,5 @@
         res.ok.packed = doc
         b.clear('config_unreadable')
         b.log('info', 'config', sequence=seq)
+
     b.chore(config.checking(config.swell(doc), seq), done)
--- a/asterwharf/scheduler/placer.py
+++ b/asterwharf/scheduler/placer.py
@@ -59,11 +59,13 @@
     # --- which tasks
     def _when(self, cfg):
         """From which time on a task may start, by its due time and its rest after a failed try."""
+
         def when(t):
             if not t.used or not t.hold:
                 return t.due
             cls = cfg.classes.get(t.job.cls) or cfg.classes['default']
             return max(t.due, t.hold + min(cls.retry_ms * 2 ** (t.used - 1), cls.retry_ms * 32))
+
         return when
 
     def _links(self):
@@ -126,12 +128,27 @@
     def world(self, t, m, cfg):
         ten = cfg.tenants[t.job.tenant]
         # only what does not change with load: so one judgement serves a whole class of cases
-        return {'task': {'class': t.job.cls, 'cores': float(t.cores), 'gpus': t.gpus, 'mem': t.mem, 'gang': t.gang,
-                         'priority': priority(cfg, t), 'zones': t.zones},
-                'tenant': {'name': t.job.tenant, 'weight': float(ten.weight)},
-                'minion': {'name': m.name, 'zone': m.zone, 'cores': float(m.cores), 'gpus': m.gpus, 'mem': m.mem,
-                           'labels': m.labels},
-                'zone': {'name': m.zone, 'emptied': m.zone in cfg.emptied}}
+        return {
+            'task': {
+                'class': t.job.cls,
+                'cores': float(t.cores),
+                'gpus': t.gpus,
+                'mem': t.mem,
+                'gang': t.gang,
+                'priority': priority(cfg, t),
+                'zones': t.zones,
+            },
+            'tenant': {'name': t.job.tenant, 'weight': float(ten.weight)},
+            'minion': {
+                'name': m.name,
+                'zone': m.zone,
+                'cores': float(m.cores),
+                'gpus': m.gpus,
+                'mem': m.mem,
+                'labels': m.labels,
+            },
+            'zone': {'name': m.zone, 'emptied': m.zone in cfg.emptied},
+        }
 
     def allowed(self, t, m, cfg):
         """'' where the task may land, else why not."""
@@ -281,7 +298,12 @@
 
     def _starved(self, levels, rooms, cfg, use, bundles):
         """What has waited longest beyond all measure comes first, and room is held for it."""
-        heads = [(self._waited(ln.heap[0][1]), ln.heap[0][1], ten, ln) for lev in levels for ten, lns in lev.items() for ln in lns]
+        heads = [
+            (self._waited(ln.heap[0][1]), ln.heap[0][1], ten, ln)
+            for lev in levels
+            for ten, lns in lev.items()
+            for ln in lns
+        ]
         old = heapq.nlargest(20, (r for r in heads if r[0] > self.b.set.view.silence_ms * STARVE), key=lambda r: r[:2])
         # one at a time, so that urgent work loses no more than one bundle's room
         for _, nam, ten, ln in old:
@@ -321,6 +343,7 @@
             self.b.count['placed'] += len(got)
             # what was not delivered, or not known to be, is looked at again
             self.mac.turned += [k for k in keys if k not in got]
+
         doc = {'at': at, 'sequence': self.b.config.sequence, 'bundles': bundles, 'apart': True}
         self.busy = self.cell.order('t_place', doc, done)
         if not self.busy:
--- a/asterwharf/scheduler/policy.py
+++ b/asterwharf/scheduler/policy.py
@@ -11,6 +11,7 @@
     # one environment: making it parses CEL's own grammar; the library is large, and only read where there are policies
     if not _ENV:
         import celpy
+
         _ENV.append(celpy.Environment())
     return _ENV[0]
 
@@ -33,6 +34,7 @@
         if key in self.cache:
             return self.cache[key]
         from celpy.adapter import json_to_cel
+
         try:
             out = prg.evaluate({k: json_to_cel(v) for k, v in wld.items()})
         except Exception:
@@ -71,6 +73,7 @@
 
     def _as_bool(self, val):
         from celpy.celtypes import BoolType
+
         if isinstance(val, BoolType):
             return bool(val)
         if val is not False:
@@ -118,16 +121,34 @@
     def __init__(self, cfg, name, cls, tenant, cores, gpus, mem, victim):
         self.cfg, self.pol = cfg, cfg.policies[name]
         pri = cfg.classes[cls].priority if cls in cfg.classes else 0
-        self.task = {'class': cls, 'cores': float(cores), 'gpus': gpus, 'mem': mem, 'gang': '', 'priority': pri, 'zones': []}
+        self.task = {
+            'class': cls,
+            'cores': float(cores),
+            'gpus': gpus,
+            'mem': mem,
+            'gang': '',
+            'priority': pri,
+            'zones': [],
+        }
         wgt = cfg.tenants[tenant].weight if tenant in cfg.tenants else 1.0
         self.tenant = {'name': tenant, 'weight': float(wgt)}
         vic = cfg.classes[victim].priority if victim in cfg.classes else 0
         self.evict = dict(self.task, **{'class': victim}, tenant=tenant, priority=vic) if victim else None
 
     def row(self, m):
-        wld = {'task': self.task, 'tenant': self.tenant, 'zone': {'name': m['zone'], 'emptied': m['zone'] in self.cfg.emptied},
-               'minion': {'name': m['name'], 'zone': m['zone'], 'cores': float(m['cores']), 'gpus': m['gpus'],
-                          'mem': m['mem'], 'labels': m.get('labels') or {}}}
+        wld = {
+            'task': self.task,
+            'tenant': self.tenant,
+            'zone': {'name': m['zone'], 'emptied': m['zone'] in self.cfg.emptied},
+            'minion': {
+                'name': m['name'],
+                'zone': m['zone'],
+                'cores': float(m['cores']),
+                'gpus': m['gpus'],
+                'mem': m['mem'],
+                'labels': m.get('labels') or {},
+            },
+        }
         out = {'minion': m['name'], 'zone': m['zone'], 'may_land': self.pol.may_land(wld), 'score': self.pol.score(wld)}
         if self.evict:
             out['may_evict'] = self.pol.may_evict(dict(wld, victim=self.evict))
--- a/asterwharf/scheduler/queues.py
+++ b/asterwharf/scheduler/queues.py
@@ -109,7 +109,9 @@
 _LOW = {'timeout_ms': 1, 'aim_ms': 0, 'priority': 0, 'tries': 1}
 # a whole number stands for a fraction, never the other way round
 _TYPES = {c: {f.name: (int, float) if f.type is float else (f.type,) for f in fields(c)} for c in (Queue, Group)}
-_NEED = {c: {f.name for f in fields(c) if f.default is MISSING and f.default_factory is MISSING} for c in (Queue, Group)}
+_NEED = {
+    c: {f.name for f in fields(c) if f.default is MISSING and f.default_factory is MISSING} for c in (Queue, Group)
+}
 
 
 def plain(host):
@@ -143,7 +145,11 @@
 def _typed(cls, val, pth, bad):
     """Whether the fields of one named thing are well typed; lists what is not."""
     # the common case is looked at quickly; whatever is not plainly right is for the strict reader to judge
-    if type(val) is dict and _NEED[cls] <= val.keys() and all(type(v) in _TYPES[cls].get(k, ()) for k, v in val.items()):
+    if (
+        type(val) is dict
+        and _NEED[cls] <= val.keys()
+        and all(type(v) in _TYPES[cls].get(k, ()) for k, v in val.items())
+    ):
         return True
     res = read(cls, val, pth)
     if res.is_error():
@@ -172,7 +178,7 @@
         if not low <= q.get(k, low) <= BIG:
             bad.append(f'{pth}.{k}: {q[k]} is not between {low} and {BIG}')
     if not 0 < q.get('stretch', 1) <= BIG:
-        bad.append(f"{pth}.stretch: {q['stretch']} is not above 0, up to {BIG}")
+        bad.append(f'{pth}.stretch: {q["stretch"]} is not above 0, up to {BIG}')
 
 
 def _frame(doc, above):
@@ -180,7 +186,7 @@
     res = read(Doc, {k: [] if k in ('queues', 'groups') and type(v) is list else v for k, v in doc.items()})
     bad, num, lim = res.error if res.is_error() else [], doc.get('number'), doc.get('limits')
     if isinstance(doc.get('policies'), dict) and len(doc['policies']) > POLICIES:
-        bad.append(f"policies: {len(doc['policies'])} are more than {POLICIES}")
+        bad.append(f'policies: {len(doc["policies"])} are more than {POLICIES}')
     if type(num) is int and not 1 <= num <= BIG:
         bad.append(f'number: {num} is not between 1 and {BIG}')
     elif type(num) is int and num <= above:
@@ -195,6 +201,7 @@
 def _compiles(may_land, may_evict, score):
     """The mistakes of a policy's programs."""
     from asterwharf.scheduler import policy
+
     res = policy.compile_policy(Program(may_land, may_evict, score))
     return tuple(res.error) if res.is_error() else ()
 
@@ -203,6 +210,7 @@
     """Compiles each policy in a slice of its own."""
     # the library is large and slow to read: only where there are policies
     from asterwharf.scheduler import policy
+
     yield 1
     policy.warm()
     yield 1
@@ -262,13 +270,17 @@
         for i, v in enumerate(getattr(c.set, k)):
             nam = v.get('name')
             if not isinstance(nam, str) or nam in new:
-                bad.append(f'set.{k}[{i}].name: {"missing or no text" if nam not in new else f"{nam!r} stands there twice"}')
+                bad.append(
+                    f'set.{k}[{i}].name: {"missing or no text" if nam not in new else f"{nam!r} stands there twice"}'
+                )
             else:
                 new[nam] = v
         old = [new.pop(v['name'], v) for v in out.get(k, ()) if v['name'] in new or v['name'] not in gone]
         out[k] = old + list(new.values())
     if c.set.policies or c.drop.policies:
-        out['policies'] = {k: v for k, v in (out.get('policies') or {}).items() if k not in c.drop.policies} | c.set.policies
+        out['policies'] = {
+            k: v for k, v in (out.get('policies') or {}).items() if k not in c.drop.policies
+        } | c.set.policies
     return Error(trouble('bad_config', *bad)) if bad else Ok(out)
 
 
@@ -293,17 +305,17 @@
 
 def head(raw):
     """{number, by, at} of a row; number 0 where there is none."""
-    return json.loads(raw[:raw.index(b'\n')]) if raw else {'number': 0, 'by': '', 'at': 0}
+    return json.loads(raw[: raw.index(b'\n')]) if raw else {'number': 0, 'by': '', 'at': 0}
 
 
 def body(raw):
     """The document of a row, as it was sent; None where there is none."""
-    return json.loads(zlib.decompress(base64.b64decode(raw[raw.index(b'\n') + 1:]))) if raw else None
+    return json.loads(zlib.decompress(base64.b64decode(raw[raw.index(b'\n') + 1 :]))) if raw else None
 
 
 def may_judge(raw):
     """Whether the document of a row may hold placement policies; it is not read for that."""
-    return bool(raw) and b'"policies"' in zlib.decompress(base64.b64decode(raw[raw.index(b'\n') + 1:]))
+    return bool(raw) and b'"policies"' in zlib.decompress(base64.b64decode(raw[raw.index(b'\n') + 1 :]))
 
 
 def _made(cls, val):
@@ -354,7 +366,7 @@
         i = bisect_right(pres, path) - 1
         while i >= 0:
             if path.startswith(pres[i]):
-                return ques[i], path[len(pres[i]):]
+                return ques[i], path[len(pres[i]) :]
             i = ups[i]
         return None
 
--- a/asterwharf/scheduler/show.py
+++ b/asterwharf/scheduler/show.py
@@ -17,8 +17,14 @@
 
 
 def job(j):
-    out = {'tenant': j.tenant, 'id': j.id, 'class': j.cls, 'state': j.state, 'submitted_at': j.at,
-           'tasks': [task(t) for t in j.tasks.values()]}
+    out = {
+        'tenant': j.tenant,
+        'id': j.id,
+        'class': j.cls,
+        'state': j.state,
+        'submitted_at': j.at,
+        'tasks': [task(t) for t in j.tasks.values()],
+    }
     if j.why:
         out['why'] = j.why
     if j.over:
@@ -28,15 +34,37 @@
 
 def brief(j):
     sts = [t.state for t in j.tasks.values()]
-    return {'tenant': j.tenant, 'id': j.id, 'class': j.cls, 'state': j.state, 'submitted_at': j.at,
-            'tasks': len(sts), 'done': sts.count('done'), 'busy': sum(s in BUSY for s in sts)}
+    return {
+        'tenant': j.tenant,
+        'id': j.id,
+        'class': j.cls,
+        'state': j.state,
+        'submitted_at': j.at,
+        'tasks': len(sts),
+        'done': sts.count('done'),
+        'busy': sum(s in BUSY for s in sts),
+    }
 
 
 def minion(m):
     c, g, x = m.free
-    return {'name': m.name, 'zone': m.zone, 'edge': m.edge, 'link_round': m.link, 'up': m.up, 'draining': m.drain or m.opdrain, 'evict_at': m.until,
-            'cores': m.cores, 'gpus': m.gpus, 'mem': m.mem, 'labels': m.labels, 'free': {'cores': round(c, 3), 'gpus': g, 'mem': x},
-            'tasks': len(m.load), 'strays': len(m.strays), 'why': m.why}
+    return {
+        'name': m.name,
+        'zone': m.zone,
+        'edge': m.edge,
+        'link_round': m.link,
+        'up': m.up,
+        'draining': m.drain or m.opdrain,
+        'evict_at': m.until,
+        'cores': m.cores,
+        'gpus': m.gpus,
+        'mem': m.mem,
+        'labels': m.labels,
+        'free': {'cores': round(c, 3), 'gpus': g, 'mem': x},
+        'tasks': len(m.load),
+        'strays': len(m.strays),
+        'why': m.why,
+    }
 
 
 def claim(t):
--- a/asterwharf/scheduler/steward.py
+++ b/asterwharf/scheduler/steward.py
@@ -77,10 +77,20 @@
             for k in [k for k in self.sent if k[0] == d['minion']]:
                 del self.sent[k]
             s = self.b.sequence
-            self.b.send(src, 'ack', minion=d['minion'], link=res['link'], nonce=d['nonce'], ok=True, why='',
-                        settings=self._terms(), sequence=s, emptied=d['zone'] in self.b.emptied,
-                        record=[dict(i, need=self._need(self.mac.tasks[i['task']])) if i['need'] else i
-                                for i in res['record']])
+            self.b.send(
+                src,
+                'ack',
+                minion=d['minion'],
+                link=res['link'],
+                nonce=d['nonce'],
+                ok=True,
+                why='',
+                settings=self._terms(),
+                sequence=s,
+                emptied=d['zone'] in self.b.emptied,
+                record=[dict(i, need=self._need(self.mac.tasks[i['task']])) if i['need'] else i for i in res['record']],
+            )
+
         self.cell.order('t_register', doc, got)
 
     def _claim(self, nam, zone, own):
@@ -96,8 +106,12 @@
     def _terms(self):
         """The confirmed settings of the link, which the agent takes over."""
         l = self.b.set.link
-        return {'beat_ms': l.beat_ms, 'grace_ms': l.grace_ms, 'tenure_ms': int(l.grace_ms * l.tenure_ratio),
-                'fresh_ms': l.fresh_ms}
+        return {
+            'beat_ms': l.beat_ms,
+            'grace_ms': l.grace_ms,
+            'tenure_ms': int(l.grace_ms * l.tenure_ratio),
+            'fresh_ms': l.fresh_ms,
+        }
 
     # --- beats: answered only once a majority has confirmed this holder after hearing them
     def on_beat(self, src, d):
@@ -112,9 +126,17 @@
             if r is None or not self._live(d['minion'], d['link']):
                 return
             m = self.mac.minions[d['minion']]
-            self.b.send(src, 'beaten', minion=m.name, link=m.link, n=d['n'], drain=m.opdrain,
-                        sequence=self.b.sequence,
-                        emptied=m.zone in self.b.emptied)
+            self.b.send(
+                src,
+                'beaten',
+                minion=m.name,
+                link=m.link,
+                n=d['n'],
+                drain=m.opdrain,
+                sequence=self.b.sequence,
+                emptied=m.zone in self.b.emptied,
+            )
+
         # a heartbeat is counted from when it was sent: its answer may wait for the next beat of the group
         self.cell.sure(sure, soon=False)
 
@@ -157,6 +179,7 @@
             # told again until it is delivered
             if r is not None:
                 self.b.send(src, 'statused', minion=d['minion'], link=d['link'], n=ns)
+
         self.cell.order('t_status', doc, got)
 
     def on_drain(self, src, d):
@@ -291,6 +314,16 @@
             return
         self.sent[k] = b.now
         b.count[f'order.{what}'] += 1
-        b.send(tie.edge, 'order', minion=nam, link=m.link, what=what, task=key, round=rnd, stamp=tie.stamp,
-               need=self._need(t) if t else None, run=t.run if t and what == 'start' else None,
-               sequence=b.sequence)
+        b.send(
+            tie.edge,
+            'order',
+            minion=nam,
+            link=m.link,
+            what=what,
+            task=key,
+            round=rnd,
+            stamp=tie.stamp,
+            need=self._need(t) if t else None,
+            run=t.run if t and what == 'start' else None,
+            sequence=b.sequence,
+        )
--- a/asterwharf/sickle/ask.py
+++ b/asterwharf/sickle/ask.py
@@ -56,7 +56,9 @@
     """Each node of the roll, asked for its own status."""
     out = []
     for r in rows:
-        row = dict(r, answers=False, fit=False, sequence='', holds=','.join(g for g, n in holders.items() if n == r['name']))
+        row = dict(
+            r, answers=False, fit=False, sequence='', holds=','.join(g for g, n in holders.items() if n == r['name'])
+        )
         if r['http']:
             try:
                 _, got = one(r['http'], 'GET', '/status', ttl=2)
--- a/asterwharf/sickle/common.py
+++ b/asterwharf/sickle/common.py
@@ -13,8 +13,14 @@
 
 At = Annotated[Optional[str], Parameter(name='--at', help='addresses of doors, comma separated; else $ASTERWHARF_AT')]
 Js = Annotated[bool, Parameter(name='--json', help='JSON instead of a table', negative=())]
-Within = Annotated[Optional[float], Parameter(name='--within', validator=validators.Number(gte=0),
-                                               help='seconds until what still runs is pushed out; without it nothing is')]
+Within = Annotated[
+    Optional[float],
+    Parameter(
+        name='--within',
+        validator=validators.Number(gte=0),
+        help='seconds until what still runs is pushed out; without it nothing is',
+    ),
+]
 # `-` is standard input
 File = Annotated[Path, Parameter(allow_leading_hyphen=True)]
 
--- a/asterwharf/sickle/config.py
+++ b/asterwharf/sickle/config.py
@@ -20,7 +20,7 @@
 def config_get(*, at: At = None, js: Js = False):
     """Prints the configuration in force; its sequence goes to standard error."""
     _, doc = call(doors(at), 'GET', '/v1/config')
-    print(f"sequence {doc['sequence']} by {doc['by'] or '-'}", file=sys.stderr)
+    print(f'sequence {doc["sequence"]} by {doc["by"] or "-"}', file=sys.stderr)
     print(json.dumps(doc if js else doc['config'], indent=1))
 
 
@@ -38,14 +38,14 @@
     if base is None:
         base = call(ads, 'GET', '/v1/config')[1]['sequence']
     _, got = call(ads, 'PUT', '/v1/config', doc, {'If-Match': f'"{base}"', 'X-Operator': os.environ.get('USER', '')})
-    print(f"sequence {got['sequence']} is in force")
+    print(f'sequence {got["sequence"]} is in force')
 
 
 @config.command(name='check')
 def config_check(file: File, *, at: At = None):
     """Checks FILE as the core would, without putting it in force."""
     _, got = call(doors(at), 'POST', '/v1/config/check', read(file))
-    print(f"good; policies: {', '.join(got['policies']) or '-'}; cells: {', '.join(got['cells']) or '-'}")
+    print(f'good; policies: {", ".join(got["policies"]) or "-"}; cells: {", ".join(got["cells"]) or "-"}')
 
 
 @config.command(name='log')
@@ -80,7 +80,7 @@
     ads = doors(at)
     old = _old(ads, sequence)
     got = edit(ads, lambda d: old)
-    print(f"sequence {got['sequence']} is in force, as {sequence} was")
+    print(f'sequence {got["sequence"]} is in force, as {sequence} was')
 
 
 def edit(ads, change, most=10):
@@ -97,8 +97,18 @@
 
 
 @policy.command(name='check')
-def policy_check(file: File, name: str, *, cls: str = 'default', tenant: str = '', cores: float = 1.0, gpus: int = 0,
-                 mem: int = 0, victim: str = '', at: At = None):
+def policy_check(
+    file: File,
+    name: str,
+    *,
+    cls: str = 'default',
+    tenant: str = '',
+    cores: float = 1.0,
+    gpus: int = 0,
+    mem: int = 0,
+    victim: str = '',
+    at: At = None,
+):
     """Judges a policy of the configuration in FILE against every known minion, without putting it in force.
 
     Parameters
@@ -112,6 +122,7 @@
     """
     from asterwharf.scheduler import config as conf
     from asterwharf.scheduler.policy import Trial
+
     res = conf.check(read(file))
     if res.is_error():
         raise Refused(res.error.code, {'details': res.error.more})
--- a/asterwharf/sickle/main.py
+++ b/asterwharf/sickle/main.py
@@ -41,9 +41,12 @@
             raise Refused('unknown_zone', {'details': [f'zone: {name!r}']})
         doc['zones'][name] = {'emptied': on, **({'evict_at': end} if end else {})}
         return doc
+
     got = edit(doors(at), change)
-    print(f"zone {name} {'emptied' if on else 'taken back'} with sequence {got['sequence']}"
-          + (f'; what still runs there in {within:g} s is pushed out' if end else ''))
+    print(
+        f'zone {name} {"emptied" if on else "taken back"} with sequence {got["sequence"]}'
+        + (f'; what still runs there in {within:g} s is pushed out' if end else '')
+    )
 
 
 @zone.command(name='empty')
@@ -68,7 +71,7 @@
 
 
 def _minion(name):
-    return f"/v1/minions/{quote(name, safe='')}"
+    return f'/v1/minions/{quote(name, safe="")}'
 
 
 @minion.command(name='drain')
@@ -106,9 +109,41 @@
     """Every known minion, its node, its room."""
     doc = call(doors(at), 'GET', '/v1/minions')[1]
     # minions that call in by themselves have a link's state of their own
-    cols = ('group', 'zone', 'rack', 'kind', 'link', 'draining', 'evict_at', 'suspect', 'beat_ms_ago', 'free.cpu', 'free.mem', 'free.gpus',
-            'tasks', 'strays') if any('link' in r for r in doc['minions']) else (
-        'zone', 'edge', 'link_round', 'up', 'draining', 'evict_at', 'suspect', 'cores', 'gpus', 'free.cores', 'free.gpus', 'tasks', 'strays', 'why')
+    cols = (
+        (
+            'group',
+            'zone',
+            'rack',
+            'kind',
+            'link',
+            'draining',
+            'evict_at',
+            'suspect',
+            'beat_ms_ago',
+            'free.cpu',
+            'free.mem',
+            'free.gpus',
+            'tasks',
+            'strays',
+        )
+        if any('link' in r for r in doc['minions'])
+        else (
+            'zone',
+            'edge',
+            'link_round',
+            'up',
+            'draining',
+            'evict_at',
+            'suspect',
+            'cores',
+            'gpus',
+            'free.cores',
+            'free.gpus',
+            'tasks',
+            'strays',
+            'why',
+        )
+    )
     show(doc, 'minions', ('name', *cols), js)
 
 
@@ -130,9 +165,15 @@
         _, m = call(doors(at), 'GET', '/v1/minions')
         _, j = call(doors(at), 'GET', '/v1/jobs?most=5000')
         sts = Counter(r['state'] for r in j['jobs'])
-        mis = f" missing {','.join(m['missing'])}" if 'missing' in m else ''
-        print(time.strftime('%H:%M:%S'), f"minions {sum(r['up'] for r in m['minions'])}/{len(m['minions'])}",
-              f"busy {sum(r['tasks'] for r in m['minions'])}", *(f'{k} {v}' for k, v in sorted(sts.items())), mis, flush=True)
+        mis = f' missing {",".join(m["missing"])}' if 'missing' in m else ''
+        print(
+            time.strftime('%H:%M:%S'),
+            f'minions {sum(r["up"] for r in m["minions"])}/{len(m["minions"])}',
+            f'busy {sum(r["tasks"] for r in m["minions"])}',
+            *(f'{k} {v}' for k, v in sorted(sts.items())),
+            mis,
+            flush=True,
+        )
         if not rounds or n < rounds:
             time.sleep(every)
 
@@ -142,7 +183,14 @@
     """Which round of each task is held by which minion."""
     doc = call(doors(at), 'GET', '/v1/claims')[1]
     runs = any('run' in r for r in doc['claims'])
-    show(doc, 'claims', ('task', 'run', 'minion', 'state', 'since', 'percent') if runs else ('task', 'round', 'minion', 'state', 'since'), js)
+    show(
+        doc,
+        'claims',
+        ('task', 'run', 'minion', 'state', 'since', 'percent')
+        if runs
+        else ('task', 'round', 'minion', 'state', 'since'),
+        js,
+    )
 
 
 @app.command(name='nodes')
@@ -180,7 +228,9 @@
 @app.command
 def jobs(*, tenant: str = '', queue: str = '', state: str = '', most: int = 50, at: At = None, js: Js = False):
     """Jobs, newest first; of one tenant, or of one queue."""
-    doc = call(doors(at), 'GET', '/v1/jobs?' + urlencode({'tenant': tenant, 'queue': queue, 'state': state, 'most': most}))[1]
+    doc = call(
+        doors(at), 'GET', '/v1/jobs?' + urlencode({'tenant': tenant, 'queue': queue, 'state': state, 'most': most})
+    )[1]
     own = ('queue', 'id') if any('queue' in r for r in doc['jobs']) else ('tenant', 'id', 'class')
     show(doc, 'jobs', (*own, 'state', 'tasks', 'done', 'busy', 'submitted_at'), js)
 
@@ -200,14 +250,14 @@
     """Hands a job in; the same body again is the same job."""
     doc = read(file)
     sts, got = call(doors(at), 'PUT', _job(tenant, id), doc)
-    print(f"{'taken' if sts == 201 else 'already kept'}: {tenant}/{id} is {got['state']}")
+    print(f'{"taken" if sts == 201 else "already kept"}: {tenant}/{id} is {got["state"]}')
 
 
 @job.command(name='cancel')
 def job_cancel(tenant: str, id: str, *, at: At = None):
     """Cancels a job; "under way" until nothing of it can run any more."""
     sts, got = call(doors(at), 'DELETE', _job(tenant, id))
-    print('cancelled' if sts == 200 else f"under way: {got['state']}")
+    print('cancelled' if sts == 200 else f'under way: {got["state"]}')
     sys.exit(0)
 
 
--- a/asterwharf/sickle/queues.py
+++ b/asterwharf/sickle/queues.py
@@ -11,14 +11,16 @@
 from asterwharf.sickle.ask import Refused, call
 from asterwharf.sickle.common import At, File, Js, doors, read, show
 
-queues = App(name='queues', help='The queues document (queues, groups of minions, limits, policies), and the jobs in queues.')
+queues = App(
+    name='queues', help='The queues document (queues, groups of minions, limits, policies), and the jobs in queues.'
+)
 
 
 @queues.command(name='get')
 def queues_get(*, at: At = None, js: Js = False):
     """Prints the queues document in force; its number goes to standard error."""
     _, got = call(doors(at), 'GET', '/v1/queues')
-    print(f"number {got['number']} by {got['by'] or '-'}", file=sys.stderr)
+    print(f'number {got["number"]} by {got["by"] or "-"}', file=sys.stderr)
     print(json.dumps(got if js else got['doc'], indent=1))
 
 
@@ -26,8 +28,12 @@
 def queues_list(*, at: At = None, js: Js = False):
     """Every queue: where clients reach it, which group runs it, how."""
     _, got = call(doors(at), 'GET', '/v1/queues')
-    show({'queues': got['doc'].get('queues', [])}, 'queues',
-         ('name', 'host', 'prefix', 'group', 'kind', 'priority', 'tries', 'stretch', 'aim_ms', 'timeout_ms', 'policy'), js)
+    show(
+        {'queues': got['doc'].get('queues', [])},
+        'queues',
+        ('name', 'host', 'prefix', 'group', 'kind', 'priority', 'tries', 'stretch', 'aim_ms', 'timeout_ms', 'policy'),
+        js,
+    )
 
 
 def _send(at, method, doc, base, number=False):
@@ -39,7 +45,7 @@
     if number:
         doc.setdefault('number', base + 1)
     _, got = call(ads, method, '/v1/queues', doc, {'If-Match': f'"{base}"', 'X-Operator': os.environ.get('USER', '')})
-    print(f"number {got['number']} is in force")
+    print(f'number {got["number"]} is in force')
 
 
 @queues.command(name='put')
@@ -67,21 +73,25 @@
 
 
 def _job(queue, id):
-    return f"/v1/queues/{quote(queue, safe='')}/jobs/{quote(id, safe='')}"
+    return f'/v1/queues/{quote(queue, safe="")}/jobs/{quote(id, safe="")}'
 
 
 @queues.command(name='counts')
 def queues_counts(*, queue: str = '', at: At = None, js: Js = False):
     """How much waits and runs in each queue that anything was handed in to."""
-    show(call(doors(at), 'GET', '/v1/queues/counts?' + urlencode({'queue': queue}))[1], 'queues',
-         ('queue', 'waiting', 'running', 'ended', 'tasks_ready', 'tasks_running'), js)
+    show(
+        call(doors(at), 'GET', '/v1/queues/counts?' + urlencode({'queue': queue}))[1],
+        'queues',
+        ('queue', 'waiting', 'running', 'ended', 'tasks_ready', 'tasks_running'),
+        js,
+    )
 
 
 @queues.command(name='submit')
 def queues_submit(queue: str, id: str, file: File, *, at: At = None):
     """Hands a job in to a queue; ID is 16 digits from 0 to f. The same body again is the same job."""
     sts, _ = call(doors(at), 'PUT', _job(queue, id), read(file))
-    print(f"{'taken' if sts == 201 else 'already kept'}: {queue}/{id}")
+    print(f'{"taken" if sts == 201 else "already kept"}: {queue}/{id}')
 
 
 @queues.command(name='job')
@@ -93,7 +103,12 @@
 @queues.command(name='why')
 def queues_why(queue: str, id: str, *, at: At = None, js: Js = False):
     """Why each step of a queue's job waits."""
-    show(call(doors(at), 'GET', _job(queue, id))[1], 'steps', ('time', 'step', 'count', 'waiting', 'ready', 'running', 'done', 'why'), js)
+    show(
+        call(doors(at), 'GET', _job(queue, id))[1],
+        'steps',
+        ('time', 'step', 'count', 'waiting', 'ready', 'running', 'done', 'why'),
+        js,
+    )
 
 
 @queues.command(name='cancel')
@@ -105,13 +120,13 @@
 
 def evacuate(name: str, *, at: At = None):
     """Nothing more starts in the zone on minions that call in by themselves."""
-    call(doors(at), 'PUT', f"/v1/zones/{quote(name, safe='')}/emptied")
+    call(doors(at), 'PUT', f'/v1/zones/{quote(name, safe="")}/emptied')
     print(f'zone {name} is evacuated')
 
 
 def readmit(name: str, *, at: At = None):
     """Minions that call in from the zone get work again."""
-    call(doors(at), 'DELETE', f"/v1/zones/{quote(name, safe='')}/emptied")
+    call(doors(at), 'DELETE', f'/v1/zones/{quote(name, safe="")}/emptied')
     print(f'zone {name} is readmitted')
 
 
--- a/asterwharf/sickle/trouble.py
+++ b/asterwharf/sickle/trouble.py
@@ -63,22 +63,38 @@
         good = sum(s['seated'] for s in seats.values())
         if not holds and size:
             what = f'nobody holds it; {good} of {size} seats answer and are seated'
-            more = 'start its seats again' if 2 * good <= size else 'wait for the vote, some seconds; then look at the links between them'
+            more = (
+                'start its seats again'
+                if 2 * good <= size
+                else 'wait for the vote, some seconds; then look at the links between them'
+            )
             rows.append((f'group {g}', what, f'{more}; runbook "node lost"'))
         elif good < size:
-            rows.append((f'group {g}', f'{good} of {size} seats answer and are seated', 'a second loss stops it; runbook "node lost"'))
+            rows.append(
+                (
+                    f'group {g}',
+                    f'{good} of {size} seats answer and are seated',
+                    'a second loss stops it; runbook "node lost"',
+                )
+            )
         if len(holds) > 1:
-            rows.append((f'group {g}', f'{", ".join(holds)} each think to hold it', 'one is cut off and will find out; runbook "cut"'))
+            rows.append(
+                (
+                    f'group {g}',
+                    f'{", ".join(holds)} each think to hold it',
+                    'one is cut off and will find out; runbook "cut"',
+                )
+            )
     for n, adr in sorted(mute.items()):
         r = roles.get(n)
-        what = f"{r['role']} in {r['zone']} does not answer at {adr}" if r else f'no answer at {adr}'
+        what = f'{r["role"]} in {r["zone"]} does not answer at {adr}' if r else f'no answer at {adr}'
         rows.append((n, what, 'runbook "node lost"'))
     top = max(d['sequence'] for d in got.values())
     for n, d in sorted(got.items()):
         if d['sequence'] < top:
-            rows.append((n, f"has configuration {d['sequence']}, others {top}", 'look at its links to the core'))
+            rows.append((n, f'has configuration {d["sequence"]}, others {top}', 'look at its links to the core'))
         if not d['fit'] and 'why' in d:
-            rows.append((n, f"takes no callers: {d['why']}", 'see the groups above'))
+            rows.append((n, f'takes no callers: {d["why"]}', 'see the groups above'))
         for a in d.get('alarms', ()):
-            rows.append((a['about'] or n, f"{a['number']} {a['alarm']}: {a['text']} (told by {n})", a['cure']))
+            rows.append((a['about'] or n, f'{a["number"]} {a["alarm"]}: {a["text"]} (told by {n})', a['cure']))
     return list(dict.fromkeys(rows))
--- a/asterwharf/sim/actors.py
+++ b/asterwharf/sim/actors.py
@@ -39,6 +39,7 @@
             f = next(c for c in h.node.ctl if type(c).__name__ == 'Ferry')
             h.node.b.now, h.node.b.wall = w.clocks(h)
             f.start(op, grp, args, got)
+
         if h.alive:
             w._do(h, act)
         w.after(self.silence, quiet)
@@ -61,6 +62,7 @@
             if code in ('taken', 'same') and beg is not None:
                 self.took.append(self.w.t - beg)
                 self.w.after(500, self.ask, tenant, jid)
+
         self._call('submit', 'cell', {'tenant': tenant, 'id': jid, 'spec': spec}, then)
 
     def ask(self, tenant, jid):
@@ -71,6 +73,7 @@
                 self.obs.told(job, 'job', code, body)
             if job not in self.obs.final:
                 self.w.after(self.w.rng.randint(800, 1500), self.ask, tenant, jid)
+
         self._call('job', 'cell', {'tenant': tenant, 'id': jid}, then)
 
     def cancel(self, tenant, jid):
@@ -84,6 +87,7 @@
             if code in ('ok', 'ended') or (code == 'unknown_job' and job in self.obs.kept):
                 return
             self.w.after(1000, self.cancel, tenant, jid)
+
         self._call('cancel', 'cell', {'tenant': tenant, 'id': jid}, then)
 
     def configure(self, change, by='op', tries=30):
@@ -106,7 +110,9 @@
                     self.obs.config_refused()
                 # unsure: it may have been taken; reading it again tells
                 self.w.after(300, self.configure, change, by, tries - 1)
+
             self._call('config_put', 'core', {'base': base, 'config': doc, 'by': by}, then)
+
         self._call('config_get', 'core', {}, put)
 
 
@@ -116,11 +122,19 @@
     if kind == 'surge':
         return {'class': 'surge', 'tasks': [{'name': 'check', 'cores': 2, 'run': r}]}
     if kind == 'leak':
-        gang = [{'name': f'fit{i}', 'cores': 8, 'gpus': 1, 'after': ['load'], 'gang': 'fit', 'run': {'ms': ms * 2}}
-                for i in range(4)]
-        return {'class': 'leak', 'tasks': [{'name': 'load', 'cores': 1, 'run': r}] + gang
-                + [{'name': 'rank', 'cores': 1, 'after': [f'fit{i}' for i in range(4)], 'run': r}]}
+        gang = [
+            {'name': f'fit{i}', 'cores': 8, 'gpus': 1, 'after': ['load'], 'gang': 'fit', 'run': {'ms': ms * 2}}
+            for i in range(4)
+        ]
+        return {
+            'class': 'leak',
+            'tasks': [{'name': 'load', 'cores': 1, 'run': r}]
+            + gang
+            + [{'name': 'rank', 'cores': 1, 'after': [f'fit{i}' for i in range(4)], 'run': r}],
+        }
     flaky = rng.random() < 0.3
-    tks = [{'name': f's{i}', 'cores': 1, 'tries': 3, 'run': dict(r, fail=1 if flaky and i == 0 else 0)} for i in range(3)]
+    tks = [
+        {'name': f's{i}', 'cores': 1, 'tries': 3, 'run': dict(r, fail=1 if flaky and i == 0 else 0)} for i in range(3)
+    ]
     tks.append({'name': 'sum', 'cores': 1, 'after': ['s0', 's1', 's2'], 'run': r})
     return {'class': 'sweep', 'tasks': tks}
--- a/asterwharf/sim/corners.py
+++ b/asterwharf/sim/corners.py
@@ -10,41 +10,50 @@
 @scenario
 def disk_full(f):
     """A core node's disk takes no more, at any step of a sync: the process leaves, what was not synced is gone."""
+
     def hit():
         if full(f):
             n = f.holder('commons') if f.w.rng.random() < 0.6 else f.w.rng.choice(f.core)
             # before the transaction, or after it and before anyone was told
             f.w.hosts[n].ill = f.w.rng.choice(('before', 'after'))
             f.w.after(3000, lambda: f.w.hosts[n].alive or f.w.start(n))
+
     often(f, 4, 1500, 4000, hit)
 
 
 @scenario(span=25000)
 def healed_midway(f):
     """Cuts heal in the middle of the change of view that they caused."""
+
     def hit():
         n = f.holder(f.w.rng.choice(('core', 'commons'))) or f.core[0]
         f.w.part([n], [x for x in f.core if x != n] + f.w.rng.sample(f.edges, 1))
         # silence is 1000 ms and up to half of it more; an election takes some ten
         f.w.after(f.w.rng.randint(950, 1700), f.w.heal)
+
     often(f, 7, 1800, 3500, hit)
 
 
 @scenario(span=30000)
 def killed_while_seating(f):
     """A core disk is wiped, and while its machine is being seated again the holder dies, too: it stops, then goes on."""
+
     def hit():
         if not full(f):
             return
         n = f.w.rng.choice([x for x in f.core if x != f.holder('commons')])
         bounce(f, n, 100, wipe=True)
-        f.w.after(f.w.rng.randint(100, 1200), lambda: bounce(f, f.holder('commons') or f.core[0], f.w.rng.randint(300, 2500)))
+        f.w.after(
+            f.w.rng.randint(100, 1200), lambda: bounce(f, f.holder('commons') or f.core[0], f.w.rng.randint(300, 2500))
+        )
+
     often(f, 4, 4000, 7000, hit)
 
 
 @scenario(span=30000, view=replace(VIEW, chunk=1500))
 def snapshot_cut(f):
     """The rows that bring an empty seat up are cut short: by a cut, by the death of either end."""
+
     def look(n, left=60):
         h = f.holder('commons')
         ten = f.chair(h, 'commons').seat.ten if h else None
@@ -64,6 +73,7 @@
             n = f.w.rng.choice([x for x in f.core if x != f.holder('commons')])
             bounce(f, n, 100, wipe=True)
             f.w.after(100, look, n)
+
     often(f, 4, 4000, 7000, hit)
     f.checks.append(lambda: '' if f.n else 'no snapshot was cut short')
 
@@ -75,6 +85,7 @@
 
     def cells(**c):
         return lambda d: dict(d, cells=c)
+
     f.call.configure(cells(north=north))
 
     def hit(grp):
@@ -82,6 +93,7 @@
         n = f.holder(g) if g else ''
         if n and full(f) and all(f.chair(x, g) and f.chair(x, g).seat.seated for x in f.chair(n, g).seat.log.seats):
             bounce(f, n, 300, wipe=True)
+
     for i, grp in enumerate(('commons', 'north', 'core')):
         t = 6000 + i * 9000
         f.w.after(t, f.call.configure, cells(north=dict(north, tenants=['basin'] if i % 2 == 0 else [])))
@@ -106,6 +118,7 @@
             bounce(f, e, 1000)
         back.clear()
         f.w.after(1500, count, f.w.count.get('register', 0), f.w.t + 9000)
+
     f.w.after(3000, hit)
     # each is told twice, by the agent and by its edge; a dial or two more each where an edge had no holder yet
     f.checks.append(lambda: f'a storm of registrations: {sum(seen)}' if sum(seen) > 4 * len(f.tends) else '')
@@ -135,11 +148,13 @@
 @scenario(edges=4, span=30000)
 def news_by_another_way(f):
     """Links to the core's holder are lost one by one, one way or both, while zones are emptied and taken back."""
+
     def hit():
         h = f.holder('core') or f.core[0]
         n = f.w.rng.choice([x for x in f.core + f.edges if x != h])
         f.w.cut(h, n, both=f.w.rng.random() < 0.6)
         f.w.after(6500, f.w.heal)
+
     for i in range(4):
         f.w.after(1000 + i * 7000, hit)
         f.w.after(1500 + i * 7000, f.call.configure, zoned('z1', i % 2 == 0))
@@ -149,19 +164,30 @@
 @scenario(jobs=20, span=30000)
 def emptied_to_the_end(f):
     """A zone and a minion are emptied by a deadline while holders die; one zone is taken back before its own."""
-    long = {'class': 'sweep', 'tasks': [{'name': f'g{i}', 'cores': 4, 'tries': 1, 'gang': 'g', 'run': {'ms': 22000}} for i in range(3)]}
+    long = {
+        'class': 'sweep',
+        'tasks': [{'name': f'g{i}', 'cores': 4, 'tries': 1, 'gang': 'g', 'run': {'ms': 22000}} for i in range(3)],
+    }
     for i in range(8):
-        f.w.after(200 + i * 50, f.call.submit, 'sweeps', f'long{i}', long if i % 2 else
-                  dict(long, tasks=[dict(t, gang='') for t in long['tasks']]))
+        f.w.after(
+            200 + i * 50,
+            f.call.submit,
+            'sweeps',
+            f'long{i}',
+            long if i % 2 else dict(long, tasks=[dict(t, gang='') for t in long['tasks']]),
+        )
     beg = f.w.t
     wall = f.w.base + beg
 
     def zone(z, at):
         return lambda d: dict(d, zones={**d['zones'], z: {'emptied': bool(at), 'evict_at': at}})
+
     f.w.after(2500, f.call.configure, zone('z1', wall + 6000))
     f.w.after(2800, f.call.configure, zone('z2', wall + 9000))
     f.w.after(5000, f.call.configure, zone('z2', 0))
-    f.w.after(2600, f.call._call, 'drain', 'cell', {'minion': f.tends[2], 'on': True, 'within': 4000}, lambda c, b: None)
+    f.w.after(
+        2600, f.call._call, 'drain', 'cell', {'minion': f.tends[2], 'on': True, 'within': 4000}, lambda c, b: None
+    )
     f.w.after(f.w.rng.randint(5000, 6500), lambda: bounce(f, f.holder('commons') or f.core[0], 2500))
     late = []
 
@@ -169,13 +195,23 @@
         # the deadline, an election, a stop with its confirmation
         gone = {m for m in f.tends if f.zone(m) == 'z1'} | {f.tends[2]}
         late.extend((t, m) for t, at in f.obs.live.items() for m in at if m in gone)
+
     f.w.after(6000 + 3500, look)
     f.checks.append(lambda: f'still runs past the deadline: {late[:4]}' if late else '')
 
     def kept():
-        back = [t for t, h in f.obs.hist.items() for at, how, _, m in h if how == 'stopped' and f.zone(m) == 'z2'
-                and t.startswith('sweeps/long') and m != f.tends[2] and at > beg + 8800]
+        back = [
+            t
+            for t, h in f.obs.hist.items()
+            for at, how, _, m in h
+            if how == 'stopped'
+            and f.zone(m) == 'z2'
+            and t.startswith('sweeps/long')
+            and m != f.tends[2]
+            and at > beg + 8800
+        ]
         # gangs go back whole: a member in the zone that was taken back may be stopped for its sibling's sake
         alone = [t for t in back if int(t.split('/')[1][4:]) % 2 == 0]
         return f'pushed out of a zone that was taken back: {alone}' if alone else ''
+
     f.checks.append(kept)
--- a/asterwharf/sim/days.py
+++ b/asterwharf/sim/days.py
@@ -11,11 +11,37 @@
 RECOVER = 5000
 SECONDS = {'day': 60}
 
-FAULTS = ('holder_killed', 'edge_killed', 'agent_killed', 'minion_crashed', 'agent_cut', 'core_cut', 'core_cut_off',
-          'one_way_cut', 'answers_lost', 'core_frozen', 'machine_frozen', 'core_wiped', 'slow_disk', 'clock_jump',
-          'zone_emptied', 'drains', 'config_race', 'quiet_minion', 'slow_minion', 'zone_lost',
-          'machine_frozen_long', 'agent_frozen_long', 'agent_dead_long', 'edges_frozen_long', 'disk_full', 'healed_midway',
-          'killed_while_seating', 'seeds_swapped', 'floods_large')
+FAULTS = (
+    'holder_killed',
+    'edge_killed',
+    'agent_killed',
+    'minion_crashed',
+    'agent_cut',
+    'core_cut',
+    'core_cut_off',
+    'one_way_cut',
+    'answers_lost',
+    'core_frozen',
+    'machine_frozen',
+    'core_wiped',
+    'slow_disk',
+    'clock_jump',
+    'zone_emptied',
+    'drains',
+    'config_race',
+    'quiet_minion',
+    'slow_minion',
+    'zone_lost',
+    'machine_frozen_long',
+    'agent_frozen_long',
+    'agent_dead_long',
+    'edges_frozen_long',
+    'disk_full',
+    'healed_midway',
+    'killed_while_seating',
+    'seeds_swapped',
+    'floods_large',
+)
 
 
 def seeds_swapped(f):
@@ -131,7 +157,8 @@
             out.append('nothing was started')
         if min((a[4] for a in f.obs.acks[acked:]), default=1 << 60) > end:
             out.append('no configuration was taken')
-        return f"{RECOVER} ms after the last fault ({fn.__name__}): {', '.join(out)}" if out else ''
+        return f'{RECOVER} ms after the last fault ({fn.__name__}): {", ".join(out)}' if out else ''
+
     f.checks.append(look)
 
 
--- a/asterwharf/sim/fleet.py
+++ b/asterwharf/sim/fleet.py
@@ -10,12 +10,20 @@
 from asterwharf.sim.sight import Sight
 from asterwharf.sim.world import World
 from asterwharf.trellis import node as trellis
-from asterwharf.wire.schema import PROTO
 from asterwharf.view.chair import chairs
+from asterwharf.wire.schema import PROTO
 
 # figures a simulated fleet runs with: the ratios hold as in the defaults, the bounds are shorter
-LINK = Link(beat_ms=500, unhealthy_ms=1500, close_ms=3000, grace_ms=6000, base_ms=200, max_ms=2000, auth_ms=1000,
-            register_ms=2000)
+LINK = Link(
+    beat_ms=500,
+    unhealthy_ms=1500,
+    close_ms=3000,
+    grace_ms=6000,
+    base_ms=200,
+    max_ms=2000,
+    auth_ms=1000,
+    register_ms=2000,
+)
 # a short log, so that rows, snapshots and restarts from both are met in every run
 VIEW = View(keep_log=150, chunk=20000)
 
@@ -23,7 +31,22 @@
 class Fleet:
     """Builds and starts; scenarios then do their worst."""
 
-    def __init__(self, seed, core=3, edges=3, minions=6, link=LINK, view=VIEW, size=(32.0, 8, 1 << 30), token='', proto=PROTO, doc=None, holds=True, olds=(), **st):
+    def __init__(
+        self,
+        seed,
+        core=3,
+        edges=3,
+        minions=6,
+        link=LINK,
+        view=VIEW,
+        size=(32.0, 8, 1 << 30),
+        token='',
+        proto=PROTO,
+        doc=None,
+        holds=True,
+        olds=(),
+        **st,
+    ):
         self.w = World(seed)
         self.obs = Observer(lambda: self.w.t)
         self.obs.wall = lambda: self.w.base + self.w.t
@@ -53,8 +76,17 @@
         w = self.w
 
         def build(h, inc, rng, now, wall):
-            s = Settings(name=n, bind=h.addr, seeds=self.wrong or self.seeds, zone=zone, core_size=len(self.core), token=tok,
-                         link=link, view=view, poll_ms=4000)
+            s = Settings(
+                name=n,
+                bind=h.addr,
+                seeds=self.wrong or self.seeds,
+                zone=zone,
+                core_size=len(self.core),
+                token=tok,
+                link=link,
+                view=view,
+                poll_ms=4000,
+            )
             s = replace(s, **st)
             proto = self.protos.get(n, self.proto)
             if role == 'trellis':
@@ -66,6 +98,7 @@
                 w.after(0, self.mins[n].greet, h)
             nod.b.proto = proto
             return nod
+
         h = w.add(n, role, build)
         if role == 'tend':
             h.minion = self.mins[n] = SimMinion(w, h, self.size, self.obs, self.holds)
--- a/asterwharf/sim/hosts.py
+++ b/asterwharf/sim/hosts.py
@@ -36,8 +36,29 @@
 class Host:
     """One simulated process: its node object, its clocks, its disk, its fate."""
 
-    __slots__ = ('addr', 'alive', 'alone', 'bare', 'build', 'busy', 'disk', 'frozen', 'heap', 'held', 'ill', 'life', 'minion', 'name', 'node', 'pend', 'role',
-                 'skew', 'slow', 'wall', 'woke')
+    __slots__ = (
+        'addr',
+        'alive',
+        'alone',
+        'bare',
+        'build',
+        'busy',
+        'disk',
+        'frozen',
+        'heap',
+        'held',
+        'ill',
+        'life',
+        'minion',
+        'name',
+        'node',
+        'pend',
+        'role',
+        'skew',
+        'slow',
+        'wall',
+        'woke',
+    )
 
     def __init__(self, name, role, addr, build):
         self.name, self.role, self.addr, self.build = name, role, addr, build
--- a/asterwharf/sim/observer.py
+++ b/asterwharf/sim/observer.py
@@ -19,7 +19,18 @@
         self.specs, self.kept, self.refused, self.cancels, self.final = {}, {}, {}, {}, {}
         self.drains, self.zones, self.emptied, self.acks, self.seen = {}, {}, {}, [], {}
         self.late, self.crashes, self.holds = set(), {}, {}
-        self.count = {'starts': 0, 'done': 0, 'redone': 0, 'redone_linked': 0, 'unheard': 0, 'twice': 0, 'lost': 0, 'kept': 0, 'cut_short': 0, 'resumed': 0}
+        self.count = {
+            'starts': 0,
+            'done': 0,
+            'redone': 0,
+            'redone_linked': 0,
+            'unheard': 0,
+            'twice': 0,
+            'lost': 0,
+            'kept': 0,
+            'cut_short': 0,
+            'resumed': 0,
+        }
         self.wall, self.where, self.twice, self.overlaps = lambda: 0, {}, {}, []
         # from outside: the longest chain from a minion to a majority since a time; how long a link takes to come
         # back; whether a machine sleeps; since when an agent has been able to act (None: it is not), how it woke
@@ -177,7 +188,12 @@
     def _overlaps(self, now):
         for task, (beg, old) in list(self.twice.items()):
             able, how = self.able(old)
-            if able is not None and how and now - max(beg, able) > self.rejoin(how) and self.chain(old, able, now) > self.redial:
+            if (
+                able is not None
+                and how
+                and now - max(beg, able) > self.rejoin(how)
+                and self.chain(old, able, now) > self.redial
+            ):
                 self.no('running twice at once for long', task=task, stale=old, ms=now - beg)
                 del self.twice[task]
 
@@ -213,7 +229,7 @@
             self._state(job, st, body)
             for t in (body or {}).get('tasks', ()):
                 if isinstance(t, dict) and t.get('state') == 'done':
-                    self.hist.setdefault(f"{job}/{t['name']}", []).append((now, 'told', 0, ''))
+                    self.hist.setdefault(f'{job}/{t["name"]}', []).append((now, 'told', 0, ''))
 
     def _state(self, job, st, body):
         if st not in ('done', 'failed', 'cancelled'):
@@ -229,8 +245,9 @@
                 self.no('shown as finished while a task runs', held, job=job, task=n, live=dict(self.live[key]))
             if st == 'done' and not self.ends.get(key):
                 self.no('shown as done while a task is not', job=job, task=n)
-        if st == 'failed' and not any(len(self.fails.get(f'{job}/{n}', ())) >= t.get('tries', 3)
-                                      for n, t in self.specs.get(job, {}).items()):
+        if st == 'failed' and not any(
+            len(self.fails.get(f'{job}/{n}', ())) >= t.get('tries', 3) for n, t in self.specs.get(job, {}).items()
+        ):
             self.no('failed for no reason', job=job, why=body.get('why'))
         if st == 'cancelled' and job not in self.asked:
             self.no('cancelled for no reason', job=job, why=body.get('why'))
@@ -314,7 +331,13 @@
                 key = f'{job}/{n}'
                 for m, (r, beg) in self.live.get(key, {}).items():
                     if not self.asleep(m):
-                        self.no('running after its cancel was confirmed', not self._stale(key), task=key, minion=m, late=now - at)
+                        self.no(
+                            'running after its cancel was confirmed',
+                            not self._stale(key),
+                            task=key,
+                            minion=m,
+                            late=now - at,
+                        )
 
     def _runs(self, task):
         """[(from, to)] of all that ran of a task; what runs still runs until now."""
@@ -356,5 +379,6 @@
 
 # refusals by a holder that has looked the identifier up. The other 503s are given without looking:
 # they say that this sending did nothing, not that an earlier one did nothing (http.md)
-NOT_TAKEN = frozenset(('bad_json', 'bad_field', 'bad_graph', 'bad_size', 'beyond_limits', 'unknown_tenant',
-                       'tenant_full', 'too_large'))
+NOT_TAKEN = frozenset(
+    ('bad_json', 'bad_field', 'bad_graph', 'bad_size', 'beyond_limits', 'unknown_tenant', 'tenant_full', 'too_large')
+)
--- a/asterwharf/sim/operators.py
+++ b/asterwharf/sim/operators.py
@@ -8,7 +8,9 @@
     """Nothing goes wrong: each configuration is in force everywhere within 2 s of its answer."""
     for i in range(6):
         f.w.after(1000 + i * 2500, f.call.configure, lambda d, i=i: dict(d, note=f'n{i}'))
-    f.w.after(16000, f.call.configure, lambda d: dict(d, tenants={**d['tenants'], **{f't{i}': {} for i in range(2000)}}))
+    f.w.after(
+        16000, f.call.configure, lambda d: dict(d, tenants={**d['tenants'], **{f't{i}': {} for i in range(2000)}})
+    )
 
 
 @scenario(span=30000)
@@ -23,13 +25,24 @@
             f.w.readdress(n)
             f.w.after(f.w.rng.randint(200, 2000), f.w.start, n)
             # found again by all, though nobody's settings name the new address
-            f.w.after(5500, lambda: lost.extend((n, e) for e in f.edges + f.core if f.node(e) and e != n
-                                                and n not in f.node(e).b.links))
+            f.w.after(
+                5500,
+                lambda: lost.extend(
+                    (n, e) for e in f.edges + f.core if f.node(e) and e != n and n not in f.node(e).b.links
+                ),
+            )
+
         f.w.after(t, go)
+
     swap(f.core[0], 2000)
     # edges restart with seeds that are other edges, or not there any more
-    f.w.after(7000, lambda: (setattr(f, 'wrong', [f.w.hosts[f.edges[1]].addr, '10.9.9.9:7000', f.w.hosts[f.core[2]].addr]),
-                             bounce(f, f.edges[0], 500)))
+    f.w.after(
+        7000,
+        lambda: (
+            setattr(f, 'wrong', [f.w.hosts[f.edges[1]].addr, '10.9.9.9:7000', f.w.hosts[f.core[2]].addr]),
+            bounce(f, f.edges[0], 500),
+        ),
+    )
     f.w.after(8000, lambda: setattr(f, 'wrong', None))
     swap(f.core[1], 14000)
     f.w.after(22000, bounce, f, f.core[2], 800)
@@ -40,7 +53,10 @@
 def kept_unattended(f):
     """A class that may run on alone: cut off past the grace, it is neither stopped nor started elsewhere."""
     f.call.configure(lambda d: dict(d, classes={**d['classes'], 'keep': {'unattended': 'keep'}}))
-    spec = {'class': 'keep', 'tasks': [{'name': f'k{i}', 'cores': 20, 'tries': 1, 'run': {'ms': 20000}} for i in range(3)]}
+    spec = {
+        'class': 'keep',
+        'tasks': [{'name': f'k{i}', 'cores': 20, 'tries': 1, 'run': {'ms': 20000}} for i in range(3)],
+    }
     f.w.after(1500, f.call.submit, 'basin', 'alone', spec)
     f.w.after(4000, f.w.part, f.tends, f.edges + f.core)
     f.w.after(19000, f.w.heal)
@@ -48,6 +64,7 @@
     def look():
         n = [len(f.obs.starts.get(f'basin/alone/k{i}', ())) for i in range(3)]
         return '' if n == [1, 1, 1] else f'kept work was started {n} times'
+
     f.checks.append(look)
 
 
@@ -63,6 +80,7 @@
         seen.append(now - last)
         if f.w.t < 60000:
             f.w.after(500, count, now)
+
     f.w.after(13000, count, f.w.count.get('errand', 0))
     # 150 jobs wait, each sent again at most every half second by its caller
     f.checks.append(lambda: f'a storm of errands: {max(seen)} in half a second' if max(seen) > 300 else '')
@@ -78,5 +96,8 @@
 
     def look():
         nxt = [t for s in f.obs.starts.values() for t in s if t > beg]
-        return '' if not nxt or min(nxt) < beg + 5000 else f'nothing started for {min(nxt) - beg} ms after the last fault'
+        return (
+            '' if not nxt or min(nxt) < beg + 5000 else f'nothing started for {min(nxt) - beg} ms after the last fault'
+        )
+
     f.checks.append(look)
--- a/asterwharf/sim/sight.py
+++ b/asterwharf/sim/sight.py
@@ -36,8 +36,9 @@
             grp, sts = self.f.owner(m)
             if grp not in good:
                 good[grp] = self._good(sts, grp)
-            ok = self.f.on(m) and any(self.f.on(e) and self._sees(m, e) and any(self._sees(e, s) for s in good[grp])
-                                     for e in f.edges)
+            ok = self.f.on(m) and any(
+                self.f.on(e) and self._sees(m, e) and any(self._sees(e, s) for s in good[grp]) for e in f.edges
+            )
             rows = self.spans.setdefault(m, [])
             if ok and m in self.ways and f.w.hosts[m].woke[0] <= rows[-1][1]:
                 rows[-1][1] = now
@@ -51,6 +52,8 @@
         """The longest unbroken time since then in which word could have come from this minion to a majority."""
         now = self.f.w.t
         # a chain that stands goes on until now, though the last look lies a moment back
-        ends = [(a, now if minion in self.ways and i + 1 == len(self.spans[minion]) else b)
-                for i, (a, b) in enumerate(self.spans.get(minion, ()))]
+        ends = [
+            (a, now if minion in self.ways and i + 1 == len(self.spans[minion]) else b)
+            for i, (a, b) in enumerate(self.spans.get(minion, ()))
+        ]
         return max((min(b, until) - max(a, since) for a, b in ends if b >= since and a <= until), default=0)
--- a/asterwharf/sim/world.py
+++ b/asterwharf/sim/world.py
@@ -148,9 +148,11 @@
 
     def ask(self, h, fn, *args):
         """Lets a request from outside act on the host's node: time is looked at first, as in the daemon's turn."""
+
         def act():
             h.node.at(*self.clocks(h))
             fn(*args)
+
         self._do(h, act)
 
     def _tick(self, h, life):
@@ -228,6 +230,7 @@
         def act():
             if src == h.name or src in h.node.b.links:
                 h.node.hear(src, knd, doc, *self.clocks(h))
+
         self._do(h, act)
 
     def _e_write(self, h, grp, bat):
@@ -332,6 +335,7 @@
             k = next(x for x in h.node.ctl if type(x).__name__ == 'Keeper')
             h.node.b.now, h.node.b.wall = self.clocks(h)
             k.minion(what, *args, **kws)
+
         self._do(h, act)
 
     # --- links
--- a/asterwharf/sim/yard_clients.py
+++ b/asterwharf/sim/yard_clients.py
@@ -44,13 +44,26 @@
         for s in range(max(1, min(round(draw(r, kind.steps, 0.4, kind.steps * 2.5)), 5))):
             steps.append(self._step(kind, grp, s, r))
             mean = draw(r, kind.work_ms, kind.spread, kind.work_ms * 2.5)
-            works.append([max(30, int(mean * (1 + kind.uneven * (2 * r.random() - 1)))) for _ in range(steps[-1]['count'])])
+            works.append(
+                [max(30, int(mean * (1 + kind.uneven * (2 * r.random() - 1)))) for _ in range(steps[-1]['count'])]
+            )
             steps[-1]['estimate_ms'] = max(1, int(mean * math.exp(r.uniform(-1, 1) * kind.off)))
         spec = {'payload': f'{kind.name} {jid}', 'steps': steps}
         if kind.timed and r.random() < kind.timed:
-            spec.update(times=r.randint(1, kind.times), first_ms=self.fleet.obs.wall() + r.randint(500, 3000), every_ms=kind.every_ms)
-        q = queue or {'name': f'r-{kind.name}', 'prefix': f'/{kind.name}/', 'group': kind.group, 'priority': kind.priority,
-                      'tries': kind.tries, 'stretch': kind.stretch, 'aim_ms': kind.aim_ms}
+            spec.update(
+                times=r.randint(1, kind.times),
+                first_ms=self.fleet.obs.wall() + r.randint(500, 3000),
+                every_ms=kind.every_ms,
+            )
+        q = queue or {
+            'name': f'r-{kind.name}',
+            'prefix': f'/{kind.name}/',
+            'group': kind.group,
+            'priority': kind.priority,
+            'tries': kind.tries,
+            'stretch': kind.stretch,
+            'aim_ms': kind.aim_ms,
+        }
         job = Job(jid, q, spec, works, kind.fails, poison or r.random() < kind.poison, kind.name)
         cancel = r.randint(300, 6000) if r.random() < kind.cancel else 0
         if kind.lasts:
@@ -61,7 +74,11 @@
         sp = {'gpus': r.choice(k.gpus) if k.gpus else 0}
         sp['cpu'], sp['mem'] = (int(draw(r, x, k.spread_cpu, x * 3)) for x in (k.cpu, k.mem))
         lab = r.choice(sorted({m.kind for m in grp})) if r.random() < k.label else ''
-        fit = [m for m in grp if (not lab or m.kind == lab) and m.gpus >= sp['gpus'] and m.cpu >= sp['cpu'] and m.mem >= sp['mem']]
+        fit = [
+            m
+            for m in grp
+            if (not lab or m.kind == lab) and m.gpus >= sp['gpus'] and m.cpu >= sp['cpu'] and m.mem >= sp['mem']
+        ]
         while not fit:
             # what no minion could do is drawn smaller
             lab, sp['gpus'], sp['cpu'], sp['mem'] = '', sp['gpus'] // 2, sp['cpu'] * 2 // 3, sp['mem'] * 2 // 3
@@ -73,7 +90,10 @@
             sp['after'] = [s - 1] if r.random() < 0.7 else list(range(s))
         if r.random() < k.gang and sp['count'] > 1:
             # a gang must find room beside other work
-            room = sum(min(m.cpu // max(1, sp['cpu']), m.mem // max(1, sp['mem']), m.gpus // sp['gpus'] if sp['gpus'] else 99) for m in fit)
+            room = sum(
+                min(m.cpu // max(1, sp['cpu']), m.mem // max(1, sp['mem']), m.gpus // sp['gpus'] if sp['gpus'] else 99)
+                for m in fit
+            )
             sp['count'] = max(2, min(sp['count'], room // 3))
             sp['together'] = True
             if r.random() < k.tight:
@@ -130,6 +150,7 @@
             if code != NO_CONFIG:
                 f.obs.versions.handled(edge, box[0], lvl, asked, '/' + path.split('/')[1] + '/', code != NO_QUEUE)
             return then(edge, box[0], lvl, asked, code, body)
+
         f.net.call(f'c-{zone}', edge, act, got, wait)
 
     # --- handing in
@@ -161,6 +182,7 @@
             if tries and code != NO_QUEUE:
                 wait = (body or {}).get('retry_ms') if isinstance(body, dict) and code in NEVER else None
                 self.w.after(wait if wait is not None else pause, self.hand, job, zone, tries - 1, edge, pause * 2)
+
         edge = f.door(zone, last)
         self._call(zone, edge, 'y_submit', job.path + job.id, {'id': job.id, 'spec': job.spec}, then)
 
@@ -171,6 +193,7 @@
                 self.obs.state(job, edge, body['state'] if code == 'ok' else 'unknown')
             if again and not self.over and not self.obs.jobs[job.id].final:
                 self.w.after(self.w.rng.randint(*ASK), self.ask, job, zone, True, '' if code == 'ok' else edge)
+
         self._call(zone, self.fleet.door(zone, last), 'y_state', job.path + job.id, {'id': job.id}, then)
 
     def keen(self, job, zone):
@@ -191,12 +214,15 @@
                 return self.obs.cancel_told(job, edge, 'ok' if code == 'ok' else 'unknown')
             if tries:
                 self.w.after(400, self.cancel, job, zone, tries - 1)
+
         self._call(zone, self.fleet.door(zone), 'y_cancel', job.path + job.id, {'id': job.id}, then)
 
     def look(self, path, edge):
         """Asks one edge for a count, as the platform does after routes were added or removed."""
+
         def then(e, life, lvl, asked, code, body):
             self.obs.count['looks'] += 1
+
         self._call('z', edge, 'y_waiting', path, {}, then)
 
     # --- the end of the day
@@ -211,7 +237,9 @@
                     return self.obs.state(job, edge, body['state'] if code == 'ok' else 'unknown')
                 if left:
                     self.w.after(200, one, job, zone, left - 1)
+
             self._call(zone, self.fleet.door(zone), 'y_state', job.path + job.id, {'id': job.id}, then)
+
         for i, (job, zone) in enumerate(list(self.live.values())):
             self.w.after(i * 3, one, job, zone, tries)
         return beg
--- a/asterwharf/sim/yard_config.py
+++ b/asterwharf/sim/yard_config.py
@@ -16,7 +16,9 @@
         self.acked, self.refused = None, None
         # what cannot be read has no routes
         qs = doc.get('queues') if isinstance(doc, dict) else None
-        self.routes = {q['prefix']: q['group'] for q in qs or () if isinstance(q, dict) and 'group' in q and 'prefix' in q}
+        self.routes = {
+            q['prefix']: q['group'] for q in qs or () if isinstance(q, dict) and 'group' in q and 'prefix' in q
+        }
 
 
 class Versions:
@@ -44,7 +46,12 @@
             self.no('CONFIG', what='an invalid configuration was acknowledged', number=v.number, by=v.by)
         for o in self.sent:
             if o is not v and o.acked is not None and o.base == v.base:
-                self.no('CONFIG', what='two changes on the same version were acknowledged', base=v.base, numbers=(o.number, v.number))
+                self.no(
+                    'CONFIG',
+                    what='two changes on the same version were acknowledged',
+                    base=v.base,
+                    numbers=(o.number, v.number),
+                )
         if v.refused is not None:
             self.no('CONFIG', what='refused, then acknowledged', number=v.number)
 
@@ -91,7 +98,11 @@
         if not good:
             may = self.may(0)
             old = [v.number for v in may if (path in v.routes) == there]
-            what = 'handled as only an older version allows' if old else 'handled as only a refused or invalid version allows'
+            what = (
+                'handled as only an older version allows'
+                if old
+                else 'handled as only a refused or invalid version allows'
+            )
             self.no('CONFIG', what=what, node=node, path=path, there=there, low=low, fits=old[-3:], level=level)
             return
         top = min(v.number for v in good)
--- a/asterwharf/sim/yard_days.py
+++ b/asterwharf/sim/yard_days.py
@@ -28,8 +28,28 @@
 class Day:
     """One day: what was drawn, what came of it."""
 
-    __slots__ = ('broken', 'clients', 'closing', 'drawn', 'fault', 'fleet', 'left', 'load', 'lost', 'name', 'ops', 'rates', 'rng', 'secs', 'seed',
-                 'site', 'skipped', 'span', 'took', 'served')
+    __slots__ = (
+        'broken',
+        'clients',
+        'closing',
+        'drawn',
+        'fault',
+        'fleet',
+        'left',
+        'load',
+        'lost',
+        'name',
+        'ops',
+        'rates',
+        'rng',
+        'secs',
+        'seed',
+        'site',
+        'skipped',
+        'span',
+        'took',
+        'served',
+    )
 
     def __init__(self, site, seed, load=1.0, length=LENGTH, scale=1.0, **more):
         self.seed, self.load, self.span, self.name = seed, load, length, site
@@ -74,7 +94,9 @@
     def draw(self, faults=None):
         """[(ms after traffic begins, kind)] of a day."""
         if faults is not None:
-            return [(3000 + i * 9000 // max(1, len(faults)), k) if isinstance(k, str) else k for i, k in enumerate(faults)]
+            return [
+                (3000 + i * 9000 // max(1, len(faults)), k) if isinstance(k, str) else k for i, k in enumerate(faults)
+            ]
         r, end = self.rng, self.span - 9000
         out = [(r.randint(1000, min(8000, end)), k) for k in r.sample(sorted(PLANS), r.randint(1, 2))]
         out += [(r.randint(min(6000, end - 1), end), k) for k in r.sample(sorted(FAULTS), r.randint(3, 6))]
@@ -122,7 +144,9 @@
         for op, took in self.ops.late:
             f.obs.no('ACK', what='an order was not acknowledged in time', node=op, ms=took)
         if f.obs.count['refused_valid'] > 1:
-            f.obs.no('ACK', what='a valid configuration was refused on top of the newest', times=f.obs.count['refused_valid'])
+            f.obs.no(
+                'ACK', what='a valid configuration was refused on top of the newest', times=f.obs.count['refused_valid']
+            )
 
     # --- the closing fault
     def _close(self, how):
@@ -151,6 +175,7 @@
             for n in f.core + f.edges:
                 if w.hosts[n].alive and (how != 'wipe_after_ack' or n in f.core):
                     f.down(n, down, dark=how != 'kill_all')
+
         self.ops.change(then=strike)
         w.until(lambda: hit, 5000, 10)
         strike()
@@ -177,9 +202,15 @@
             took = sum(b[k] - a[k] for k in ('hand_taken', 'hand_same'))
             tot = sum(b[k] - a[k] for k in b if k.startswith('hand_'))
             return took / tot if tot else 1.0
+
         was, now = served(Counter(), before), served(mid, after)
         if was >= 0.25 and now < 0.25:
-            self.fleet.obs.no('RECOVER', what='too little is served after the closing fault', before=round(was, 2), after=round(now, 2))
+            self.fleet.obs.no(
+                'RECOVER',
+                what='too little is served after the closing fault',
+                before=round(was, 2),
+                after=round(now, 2),
+            )
 
     def _whole(self):
         """Heals and starts what the day's troubles left."""
@@ -192,9 +223,17 @@
     # --- telling
     def text(self):
         rules = Counter(r for _, r, _ in self.broken)
-        word = 'FAULT' if self.fault else 'ok' if not self.broken else ' '.join(f'{k}:{n}' for k, n in sorted(rules.items()))
-        rows = [f'{self.name} seed {self.seed}: {word}; {" ".join(self.drawn)}; {figures(self)}; {self.took:.1f} s'
-                + (f', {self.skipped} troubles never found their turn' if self.skipped else '')]
+        word = (
+            'FAULT'
+            if self.fault
+            else 'ok'
+            if not self.broken
+            else ' '.join(f'{k}:{n}' for k, n in sorted(rules.items()))
+        )
+        rows = [
+            f'{self.name} seed {self.seed}: {word}; {" ".join(self.drawn)}; {figures(self)}; {self.took:.1f} s'
+            + (f', {self.skipped} troubles never found their turn' if self.skipped else '')
+        ]
         rows += [f'  {t} {r} {kws}' for t, r, kws in self.broken[:6]]
         if self.fault:
             rows += ['  ' + x for x in self.fault.splitlines()[-14:]]
@@ -215,12 +254,25 @@
 def _one(args):
     site, seed, faults, closing, load, length, scale, trace = args
     d = play(site, seed, faults, closing, load=load, length=length, scale=scale)
-    return d.text() + ('\n' + d.fleet.trace(trace) if trace else ''), sorted({r for _, r, _ in d.broken} | ({'FAULT'} if d.fault else set()))
+    return d.text() + ('\n' + d.fleet.trace(trace) if trace else ''), sorted(
+        {r for _, r, _ in d.broken} | ({'FAULT'} if d.fault else set())
+    )
 
 
 @app.default
-def main(*, days: int = 20, seed: int = 1, site: str = '', load: float = 1.0, length: int = LENGTH, scale: float = 1.0, faults: str = '',
-         closing: str = '', trace: int = 0, workers: int = 1):
+def main(
+    *,
+    days: int = 20,
+    seed: int = 1,
+    site: str = '',
+    load: float = 1.0,
+    length: int = LENGTH,
+    scale: float = 1.0,
+    faults: str = '',
+    closing: str = '',
+    trace: int = 0,
+    workers: int = 1,
+):
     """Plays days, both sites in turn unless one is named (`drawn`: one from the seed); exit code 1 where a rule was broken.
 
     `faults` names kinds of trouble instead of drawing them, by commas, each perhaps with @ms; `none` for a calm day.
@@ -229,7 +281,10 @@
     list_ = None
     if faults:
         list_ = [(int(k.split('@')[1]), k.split('@')[0]) if '@' in k else k for k in faults.split(',') if k != 'none']
-    jobs = [(site or names[i % len(names)], seed + i, list_, closing or None, load, length, scale, trace) for i in range(days)]
+    jobs = [
+        (site or names[i % len(names)], seed + i, list_, closing or None, load, length, scale, trace)
+        for i in range(days)
+    ]
     bad, rules = 0, Counter()
     with multiprocessing.Pool(workers, maxtasksperchild=8) as pool:
         for text, broken in pool.imap(_one, jobs):
--- a/asterwharf/sim/yard_figures.py
+++ b/asterwharf/sim/yard_figures.py
@@ -41,13 +41,22 @@
     c, w = f.obs.count, f.w
     rows = aims(day)
     tot = sum(sum(r) for r in rows.values())
-    return {'jobs': tot, 'in_aim': round(sum(r[0] for r in rows.values()) / tot, 3) if tot else 1.0,
-            'late': round(sum(r[1] for r in rows.values()) / tot, 3) if tot else 0.0,
-            'kinds': {k: round(r[0] / sum(r), 2) for k, r in sorted(rows.items())},
-            'starts': c['starts'], 'delay_ms': round(mean(f.obs.delays)), 'delay_p95': top(f.obs.delays, 0.95),
-            'ends': {k: c[k] for k in ('done', 'failed', 'stopped', 'lapsed', 'broken', 'alone', 'crash') if c[k]},
-            'turned_away': c['turned_away'], 'wasted_core_s': round(sum(f.obs.waste.values())), 'beats': c['beats'],
-            'messages': sum(w.count.values()), 'syncs': w.syncs, 'idle_3s': len(f.obs.idle)}
+    return {
+        'jobs': tot,
+        'in_aim': round(sum(r[0] for r in rows.values()) / tot, 3) if tot else 1.0,
+        'late': round(sum(r[1] for r in rows.values()) / tot, 3) if tot else 0.0,
+        'kinds': {k: round(r[0] / sum(r), 2) for k, r in sorted(rows.items())},
+        'starts': c['starts'],
+        'delay_ms': round(mean(f.obs.delays)),
+        'delay_p95': top(f.obs.delays, 0.95),
+        'ends': {k: c[k] for k in ('done', 'failed', 'stopped', 'lapsed', 'broken', 'alone', 'crash') if c[k]},
+        'turned_away': c['turned_away'],
+        'wasted_core_s': round(sum(f.obs.waste.values())),
+        'beats': c['beats'],
+        'messages': sum(w.count.values()),
+        'syncs': w.syncs,
+        'idle_3s': len(f.obs.idle),
+    }
 
 
 def figures(day):
--- a/asterwharf/sim/yard_fleet.py
+++ b/asterwharf/sim/yard_fleet.py
@@ -62,7 +62,11 @@
                 self._host(f'e{len(self.edges)}', 'furrow', z)
         self.first = set(self.core)
         # one of each zone first: the platform's list is in no order
-        firsts = [next(n for n in self.core if self.zones[n] == z) for z in site.zones if z in {self.zones[n] for n in self.core}]
+        firsts = [
+            next(n for n in self.core if self.zones[n] == z)
+            for z in site.zones
+            if z in {self.zones[n] for n in self.core}
+        ]
         self.seeds = (firsts + [n for n in self.core if n not in firsts])[:SEEDS]
         self.roster.append((0, tuple(self.core)))
 
@@ -81,11 +85,23 @@
             first = name in self.first and h.life == 1 and h.disk.inc == born
             seeds = self.seeds if first or role == 'furrow' and h.life == 1 else self._seeds()
             adr = [self.w.hosts[n].addr for n in seeds]
-            s = Settings(name=name, bind=h.addr, seeds=adr, zone=zone, core_size=len(adr), view=self.view, poll_ms=4000,
-                         calls=self.address(name) if role == 'trellis' else '', found=first, founders=adr if first else [],
-                         call=self._bounds(), leave_ms=self.bounds.grace_ms // 2)
+            s = Settings(
+                name=name,
+                bind=h.addr,
+                seeds=adr,
+                zone=zone,
+                core_size=len(adr),
+                view=self.view,
+                poll_ms=4000,
+                calls=self.address(name) if role == 'trellis' else '',
+                found=first,
+                founders=adr if first else [],
+                call=self._bounds(),
+                leave_ms=self.bounds.grace_ms // 2,
+            )
             s = replace(s, **self.st)
             return (orchard.control if role == 'trellis' else orchard.edge)(s, inc, rng, h.disk.load, now, wall)
+
         h = self.w.add(name, role, build)
         born = h.disk.inc
         # an edge has no disk
@@ -95,9 +111,21 @@
     def _bounds(self):
         b = self.bounds
         have = {f.name for f in fields(Calls)}
-        want = {'beat_ms': b.beat_ms, 'max_hold_ms': b.hold_ms, 'hold_ms': self.hold, 'stop_grace_ms': b.stop_ms, 'gang_wait_ms': b.gang_wait_ms,
-                'far_factor': float(b.far_factor), 'checkpoint_ms': b.checkpoint_ms, 'restore_ms': b.restore_ms, 'status_ms': b.status_ms,
-                'early_ms': b.early_ms, 'cancel_ms': b.cancel_ms, 'drain_ms': b.drain_ms, 'evacuate_ms': b.evacuate_ms}
+        want = {
+            'beat_ms': b.beat_ms,
+            'max_hold_ms': b.hold_ms,
+            'hold_ms': self.hold,
+            'stop_grace_ms': b.stop_ms,
+            'gang_wait_ms': b.gang_wait_ms,
+            'far_factor': float(b.far_factor),
+            'checkpoint_ms': b.checkpoint_ms,
+            'restore_ms': b.restore_ms,
+            'status_ms': b.status_ms,
+            'early_ms': b.early_ms,
+            'cancel_ms': b.cancel_ms,
+            'drain_ms': b.drain_ms,
+            'evacuate_ms': b.evacuate_ms,
+        }
         return Calls(**{k: v for k, v in want.items() if k in have})
 
     def _seeds(self):
@@ -144,8 +172,14 @@
         if old is not None and old.up:
             return
         self.n += 1
-        adr = old.address if old is not None and self.w.rng.random() < 0.5 else f'10.128.{self.n // 250}.{self.n % 250 + 1}:8080'
-        m = self.minions[machine] = Minion(self, machine, self.shapes[machine], f'i-{self.w.rng.getrandbits(32):08x}', adr)
+        adr = (
+            old.address
+            if old is not None and self.w.rng.random() < 0.5
+            else f'10.128.{self.n // 250}.{self.n % 250 + 1}:8080'
+        )
+        m = self.minions[machine] = Minion(
+            self, machine, self.shapes[machine], f'i-{self.w.rng.getrandbits(32):08x}', adr
+        )
         m.start()
 
     # --- what may end and begin
@@ -192,6 +226,7 @@
                 self.kill(name)
                 return gone() if gone else self.w.after(back, self.up, name)
             return self.w.after(50, step)
+
         step()
 
     def cut(self, xs, ys, both=True):
@@ -235,6 +270,7 @@
         def wake():
             self.w.thaw(name)
             self.sight.event(name)
+
         self.w.after(ms, wake)
 
     def stall(self, name, ms):
@@ -247,6 +283,7 @@
             if h.slow:
                 return self.w.after(100, step)
             return self.sight.end(name)
+
         step()
 
     # --- looking from outside, for the troubles only; the observer judges without this
@@ -255,8 +292,11 @@
         return h.node if h.alive else None
 
     def holder(self, grp):
-        got = [(chairs(self.node(n))[grp].seat.view, n) for n in self.core
-               if self.node(n) and grp in chairs(self.node(n)) and chairs(self.node(n))[grp].holds]
+        got = [
+            (chairs(self.node(n))[grp].seat.view, n)
+            for n in self.core
+            if self.node(n) and grp in chairs(self.node(n)) and chairs(self.node(n))[grp].holds
+        ]
         return max(got)[1] if got else ''
 
     def seated(self, n):
@@ -265,7 +305,10 @@
 
     def whole(self):
         """Every core machine runs and has all it should have."""
-        return all(self.sight.on(n) and self.seated(n) and not self.sight.ill.get(n) for n in self.core) and not self.w.cuts
+        return (
+            all(self.sight.on(n) and self.seated(n) and not self.sight.ill.get(n) for n in self.core)
+            and not self.w.cuts
+        )
 
     # --- how clients arrive
     def _ready(self, e):
--- a/asterwharf/sim/yard_minion.py
+++ b/asterwharf/sim/yard_minion.py
@@ -15,9 +15,46 @@
 class Minion:
     """One life of a minion: a crash ends it, and another comes back under a new id."""
 
-    __slots__ = ('address', 'addr', 'barred', 'born', 'call', 'clock', 'count', 'errors', 'fails', 'fence', 'finished', 'fleet', 'gen', 'group',
-                 'hang', 'hold', 'holds', 'hops', 'id', 'last', 'leaves', 'left', 'machine', 'n', 'node', 'out', 'port', 'rack', 'runs', 'seen',
-                 'sent', 'shape', 'slow', 'speed', 'state', 'up', 'w', 'zone')
+    __slots__ = (
+        'address',
+        'addr',
+        'barred',
+        'born',
+        'call',
+        'clock',
+        'count',
+        'errors',
+        'fails',
+        'fence',
+        'finished',
+        'fleet',
+        'gen',
+        'group',
+        'hang',
+        'hold',
+        'holds',
+        'hops',
+        'id',
+        'last',
+        'leaves',
+        'left',
+        'machine',
+        'n',
+        'node',
+        'out',
+        'port',
+        'rack',
+        'runs',
+        'seen',
+        'sent',
+        'shape',
+        'slow',
+        'speed',
+        'state',
+        'up',
+        'w',
+        'zone',
+    )
 
     def __init__(self, fleet, machine, shape, mid, addr):
         self.fleet, self.w, self.machine, self.shape, self.id, self.address = fleet, fleet.w, machine, shape, mid, addr
@@ -28,7 +65,16 @@
         self.fence, self.hold, self.holds, self.count, self.state, self.leaves = 0, 0.0, 0, 0, 'ready', None
         self.up, self.slow, self.hang, self.errors, self.left = True, 1.0, False, 0.0, False
         # `out`: a call is under way; `last`: the number of ends when its beat was made up
-        self.out, self.node, self.addr, self.fails, self.gen, self.sent, self.last, self.hops = False, '', '', 0, 0, 0, 0, 0
+        self.out, self.node, self.addr, self.fails, self.gen, self.sent, self.last, self.hops = (
+            False,
+            '',
+            '',
+            0,
+            0,
+            0,
+            0,
+            0,
+        )
         self.call, self.port = None, addr
 
     # --- clocks and speed
@@ -56,9 +102,23 @@
 
     def doc(self):
         s = self.shape
-        d = {'group': self.group, 'address': self.address, 'zone': self.zone, 'version': 'v1', 'slots': 8, 'state': self.state,
-             'cold_ms': 0, 'cpu': s.cpu, 'mem': s.mem, 'gpus': s.gpus, 'labels': [s.kind, s.rack], 'clock_ms': int(self.now()),
-             'count': self.count, 'running': [], 'finished': []}
+        d = {
+            'group': self.group,
+            'address': self.address,
+            'zone': self.zone,
+            'version': 'v1',
+            'slots': 8,
+            'state': self.state,
+            'cold_ms': 0,
+            'cpu': s.cpu,
+            'mem': s.mem,
+            'gpus': s.gpus,
+            'labels': [s.kind, s.rack],
+            'clock_ms': int(self.now()),
+            'count': self.count,
+            'running': [],
+            'finished': [],
+        }
         if self.leaves is not None and self.state == 'draining':
             d['leaves_at_ms'] = max(0, int(self.leaves - self.w.t))
         works = self.fleet.works
@@ -92,7 +152,9 @@
                 if code == 'ok' and body and body.get('start'):
                     self.fleet.obs.given(self, node, body)
                 give(code, body)
+
             return t.beat(mid, doc, told)
+
         self.out = True
         beg = self.w.t
         wait = max(1, ANSWER - (beg - self.sent))
@@ -118,7 +180,13 @@
         ms = (body or {}).get('again_ms')
         every = self.fleet.bounds.beat_ms
         # what ended meanwhile is told soon; else as asked, or at the usual pace
-        self._plan(SOON if self.n > self.last else ms if ms is not None else every + self.w.rng.randint(-every // 20, every // 20))
+        self._plan(
+            SOON
+            if self.n > self.last
+            else ms
+            if ms is not None
+            else every + self.w.rng.randint(-every // 20, every // 20)
+        )
 
     def _failed(self, code):
         # whichever node it was, the next one is another
--- a/asterwharf/sim/yard_operators.py
+++ b/asterwharf/sim/yard_operators.py
@@ -35,6 +35,7 @@
             if till is not None and self.w.t >= till:
                 return then(None, None)
             self.w.after(min(1600, PAUSE << min(n, PAUSES)), self.order, op, args, then, size, till, node, n + 1)
+
         f.net.call('op', node, act, got, WAIT + size // 100)
 
     def _sent(self, op, args, v, then=None):
@@ -46,13 +47,19 @@
                 self.vers.ack(v)
                 took = self.w.t - beg
                 self.obs.count['config_acked'] += 1
-                if took > f.bounds.ack_ms + 3 * len(v.routes) and calm[0] and f.sight.settled() and f.sight.calm(beg, 'config', 'cancel', 'poison'):
+                if (
+                    took > f.bounds.ack_ms + 3 * len(v.routes)
+                    and calm[0]
+                    and f.sight.settled()
+                    and f.sight.calm(beg, 'config', 'cancel', 'poison')
+                ):
                     self.late.append((op, took))
                 self._looks(v)
             else:
                 self.vers.refuse(v, code)
             if then:
                 then(code)
+
         self.order(op, args, got, len(v.routes) * 100)
 
     def _looks(self, v):
@@ -114,8 +121,18 @@
         self.fleet.sight.mark('config', self.w.t, self.w.t + 2000)
         if named if named is not None else self.w.rng.random() < 0.4:
             # what the same change says by names
-            self._sent('queues_change', {'base': base, 'number': num, 'set': {'queues': add, 'groups': []},
-                                         'drop': {'queues': drop, 'groups': []}, 'by': by}, v, then)
+            self._sent(
+                'queues_change',
+                {
+                    'base': base,
+                    'number': num,
+                    'set': {'queues': add, 'groups': []},
+                    'drop': {'queues': drop, 'groups': []},
+                    'by': by,
+                },
+                v,
+                then,
+            )
         else:
             self._sent('queues_put', {'doc': doc, 'base': base, 'by': by}, v, then)
         return v
@@ -161,11 +178,15 @@
                 self.obs.count['evacuated'] += 1
             elif f.sight.settled() and f.sight.calm(beg, 'evacuate', 'config', 'cancel', 'poison'):
                 self.late.append(('evacuate', self.w.t - beg))
+
         self.order('zone_set', {'zone': zone, 'emptied': True}, got, till=beg + f.bounds.ack_ms)
 
         def back():
             self.obs.evacuated(zone, None)
-            self.order('zone_set', {'zone': zone, 'emptied': False}, lambda c, b: None, till=self.w.t + f.bounds.ack_ms * 3)
+            self.order(
+                'zone_set', {'zone': zone, 'emptied': False}, lambda c, b: None, till=self.w.t + f.bounds.ack_ms * 3
+            )
+
         self.w.after(ms, back)
 
     # --- reading back
@@ -180,4 +201,5 @@
                 self.obs.no('CONFIG', what='the configuration could not be read back')
             if then:
                 then(code)
+
         self.order('queues_get', {}, got, till=till)
--- a/asterwharf/sim/yard_room.py
+++ b/asterwharf/sim/yard_room.py
@@ -56,7 +56,9 @@
         o = self.obs
         for m, node, at, till in o.flying.get(jid, {}).values():
             away = not m.up or m.machine in self.net.no_in | self.net.no_out
-            if o.w.t < till + KNOWN and (away or max(o.sight.hit.get(m.machine, 0), o.sight.hit.get(node, 0)) > at - o.bounds.in_touch_ms):
+            if o.w.t < till + KNOWN and (
+                away or max(o.sight.hit.get(m.machine, 0), o.sight.hit.get(node, 0)) > at - o.bounds.in_touch_ms
+            ):
                 return True
         return False
 
@@ -101,7 +103,10 @@
             for i, (a, f) in enumerate(zip((s.cpu, s.mem, s.gpus), free)):
                 tot[i], use[i] = tot[i] + a, use[i] + a - f
             sick = m.hang or m.errors or m.slow > 1 or m.machine in self.net.no_in | self.net.no_out
-            fresh = now - self.seen.get(m.id, now) < IDLE or now - o.sight.hit.get(m.machine, -1 << 40) < o.bounds.in_touch_ms
+            fresh = (
+                now - self.seen.get(m.id, now) < IDLE
+                or now - o.sight.hit.get(m.machine, -1 << 40) < o.bounds.in_touch_ms
+            )
             if m.state == 'ready' and not sick and not fresh and m.zone not in o.zones:
                 rows.append((m, free))
         return rows, max((u / t for u, t in zip(use, tot) if t), default=1.0)
@@ -112,6 +117,9 @@
         for m, free in hall:
             if sp.get('label') and sp['label'] not in (m.shape.kind, m.rack):
                 continue
-            x = min((f // w for f, w in zip(free, (sp.get('cpu', 0), sp.get('mem', 0), sp.get('gpus', 0))) if w), default=1000)
+            x = min(
+                (f // w for f, w in zip(free, (sp.get('cpu', 0), sp.get('mem', 0), sp.get('gpus', 0))) if w),
+                default=1000,
+            )
             n += max(0, min(x, sp.get('apart') or x))
         return n
--- a/asterwharf/sim/yard_work.py
+++ b/asterwharf/sim/yard_work.py
@@ -13,15 +13,45 @@
 class Job:
     """A job as its client sent it, with what only the world knows: the true work of each task."""
 
-    __slots__ = ('aim_ms', 'cls', 'fails', 'first_ms', 'every_ms', 'group', 'id', 'path', 'payload', 'poison', 'priority', 'queue',
-                 'spec', 'steps', 'stretch', 'times', 'tries', 'works')
+    __slots__ = (
+        'aim_ms',
+        'cls',
+        'fails',
+        'first_ms',
+        'every_ms',
+        'group',
+        'id',
+        'path',
+        'payload',
+        'poison',
+        'priority',
+        'queue',
+        'spec',
+        'steps',
+        'stretch',
+        'times',
+        'tries',
+        'works',
+    )
 
     def __init__(self, jid, queue, spec, works, fails=0.0, poison=False, cls=''):
-        self.id, self.queue, self.spec, self.works, self.fails, self.poison, self.cls = jid, queue['name'], spec, works, fails, poison, cls
+        self.id, self.queue, self.spec, self.works, self.fails, self.poison, self.cls = (
+            jid,
+            queue['name'],
+            spec,
+            works,
+            fails,
+            poison,
+            cls,
+        )
         self.path, self.group, self.priority = queue['prefix'], queue['group'], queue['priority']
         self.tries, self.stretch, self.aim_ms = queue['tries'], queue['stretch'], queue['aim_ms']
         self.payload, self.steps = spec['payload'], spec['steps']
-        self.times, self.first_ms, self.every_ms = spec.get('times', 0), spec.get('first_ms', 0), spec.get('every_ms', 0)
+        self.times, self.first_ms, self.every_ms = (
+            spec.get('times', 0),
+            spec.get('first_ms', 0),
+            spec.get('every_ms', 0),
+        )
 
     @property
     def rounds(self):
@@ -50,14 +80,44 @@
 class Run:
     """One run of a task on one minion."""
 
-    __slots__ = ('at', 'end', 'fail', 'how', 'idx', 'job', 'k', 'key', 'level', 'minion', 'n', 'need', 'noted', 'run', 'saved', 'sender',
-                 'step', 'stopping', 'task', 'team', 'void', 'told')
+    __slots__ = (
+        'at',
+        'end',
+        'fail',
+        'how',
+        'idx',
+        'job',
+        'k',
+        'key',
+        'level',
+        'minion',
+        'n',
+        'need',
+        'noted',
+        'run',
+        'saved',
+        'sender',
+        'step',
+        'stopping',
+        'task',
+        'team',
+        'void',
+        'told',
+    )
 
     def __init__(self, task, run, minion, sender):
         self.task, self.run, self.minion, self.sender, self.level = task, run, minion, sender, ''
         self.job, self.k, self.step, self.idx = None, 0, 0, 0
         self.at, self.end, self.how, self.n, self.noted, self.void = 0, None, '', 0, None, False
-        self.saved, self.need, self.fail, self.stopping, self.team, self.key, self.told = '', 0, None, False, None, None, False
+        self.saved, self.need, self.fail, self.stopping, self.team, self.key, self.told = (
+            '',
+            0,
+            None,
+            False,
+            None,
+            None,
+            False,
+        )
 
     @property
     def spec(self):
@@ -71,7 +131,16 @@
 
     def __init__(self, key, size, done):
         self.key, self.size, self.done, self.members = key, size, done, []
-        self.state, self.rate, self.since, self.gen, self.need, self.wake, self.far, self.wide = 'waiting', 0.0, 0, 0, 0, 0, 1, False
+        self.state, self.rate, self.since, self.gen, self.need, self.wake, self.far, self.wide = (
+            'waiting',
+            0.0,
+            0,
+            0,
+            0,
+            0,
+            1,
+            False,
+        )
 
 
 class Works:
@@ -85,7 +154,7 @@
 
     # --- checkpoints: 8 hex digits of ms done, 8 of whose they are
     def mark(self, team, done):
-        return f"{int(done):08x}{zlib.crc32(repr(team.key[:4]).encode()):08x}"
+        return f'{int(done):08x}{zlib.crc32(repr(team.key[:4]).encode()):08x}'
 
     def _resumes(self, saved):
         try:
@@ -152,7 +221,7 @@
 
     def _joined(self, t):
         ms = t.members
-        return all(self.reach(a.minion.machine, b.minion.machine) for i, a in enumerate(ms) for b in ms[i + 1:])
+        return all(self.reach(a.minion.machine, b.minion.machine) for i, a in enumerate(ms) for b in ms[i + 1 :])
 
     def _whole(self, t):
         """Begins the work once all are there and reach one another."""
--- a/asterwharf/trellis/main.py
+++ b/asterwharf/trellis/main.py
@@ -4,8 +4,8 @@
 
 from asterwharf.base.command import settle
 from asterwharf.clock.boot import boot_ms, wall_ms
-from asterwharf.trellis import node
 from asterwharf.scheduler.policy import warm
+from asterwharf.trellis import node
 from asterwharf.view.chair import leave
 from asterwharf.wire.daemon import Daemon, rng, run
 
@@ -24,6 +24,7 @@
     from asterwharf.disk.store import Corrupt, Store
     from asterwharf.door.app import App
     from asterwharf.door.http import Door
+
     try:
         sto = Store(st.data)
         nod = node.build(st, sto.inc, rng(), sto.load, boot_ms(), wall_ms())
--- a/asterwharf/trellis/node.py
+++ b/asterwharf/trellis/node.py
@@ -20,5 +20,19 @@
     b.atlas, b.load, b.proto = Atlas(), load, proto
     core = Chair(b, 'core', Core(), load('core'))
     com = b.cells[COMMONS] = Part(b, COMMONS)
-    return Node(b, [core, *com.all, Meet(b, [core, com.chair]), Watch(b), Crier(b, core), Asker(b, core), Warden(b, core), Garden(b),
-                    Mender(b), Clerk(b, core), Ferry(b)])
+    return Node(
+        b,
+        [
+            core,
+            *com.all,
+            Meet(b, [core, com.chair]),
+            Watch(b),
+            Crier(b, core),
+            Asker(b, core),
+            Warden(b, core),
+            Garden(b),
+            Mender(b),
+            Clerk(b, core),
+            Ferry(b),
+        ],
+    )
--- a/asterwharf/view/chair.py
+++ b/asterwharf/view/chair.py
@@ -28,6 +28,7 @@
         def on(src, doc):
             if doc['grp'] == self.grp:
                 self.seat.hear(src, knd, doc, self.b.now)
+
         return on
 
     @property
--- a/asterwharf/view/log.py
+++ b/asterwharf/view/log.py
@@ -98,7 +98,7 @@
 
     def trim(self, op):
         """Cuts every entry from `op` on; the seat tables go back with them."""
-        del self.lst[op - self.cut_op - 1:]
+        del self.lst[op - self.cut_op - 1 :]
         while len(self.tabs) > 1 and self.tabs[-1].op >= op:
             self.tabs.pop()
 
@@ -107,7 +107,7 @@
         e = self.at(op)
         if e is None:
             return
-        del self.lst[:op - self.cut_op]
+        del self.lst[: op - self.cut_op]
         self.cut_op, self.cut_view = op, e.view
 
     def settle(self, op):
@@ -119,7 +119,7 @@
     def slice(self, frm, size):
         """Entries from `frm` on, up to about `size` bytes, at least one."""
         out, n = [], 0
-        for e in self.lst[frm - self.cut_op - 1:]:
+        for e in self.lst[frm - self.cut_op - 1 :]:
             if out and n + len(e.body) > size:
                 break
             out.append(e)
--- a/asterwharf/view/rows.py
+++ b/asterwharf/view/rows.py
@@ -41,8 +41,9 @@
         self.parts.append(m['rows'])
         if m['last']:
             self._install(m)
-        self.desk.vow(src, 'snapped', {'grp': self.grp, 'view': m['view'], 'op': m['op'],
-                                       'part': -1 if m['last'] else m['part']})
+        self.desk.vow(
+            src, 'snapped', {'grp': self.grp, 'view': m['view'], 'op': m['op'], 'part': -1 if m['last'] else m['part']}
+        )
 
     def _install(self, m):
         self.rows = {r['k']: r['v'] for p in self.parts for r in p}
--- a/asterwharf/view/tenure.py
+++ b/asterwharf/view/tenure.py
@@ -19,7 +19,21 @@
 class Tenure:
     """Lives from the majority that gave it to the silence or the view that ends it."""
 
-    __slots__ = ('beat', 'flown', 'heir', 'heir_at', 'last_beat', 'opened', 'reads', 'seat', 'slows', 'taking', 'urgent', 'ways', 'wishes')
+    __slots__ = (
+        'beat',
+        'flown',
+        'heir',
+        'heir_at',
+        'last_beat',
+        'opened',
+        'reads',
+        'seat',
+        'slows',
+        'taking',
+        'urgent',
+        'ways',
+        'wishes',
+    )
 
     def __init__(self, seat):
         self.seat, self.beat, self.last_beat, self.reads, self.urgent = seat, 0, -1 << 40, [], False
@@ -101,8 +115,19 @@
             prv, vw = 0, 0
         if ents:
             w.nxt, w.flew = ents[-1].op + 1, s.now
-        s.desk.say(n, 'extend', {'grp': s.grp, 'view': s.view, 'beat': self.beat, 'prev': prv, 'stamp': vw,
-                                 'upto': s.upto, 'entries': [e.dump() for e in ents]})
+        s.desk.say(
+            n,
+            'extend',
+            {
+                'grp': s.grp,
+                'view': s.view,
+                'beat': self.beat,
+                'prev': prv,
+                'stamp': vw,
+                'upto': s.upto,
+                'entries': [e.dump() for e in ents],
+            },
+        )
 
     def _start_snap(self, n, w):
         s = self.seat
@@ -122,8 +147,20 @@
         if w.part + 1 == len(cut):
             cut.append(i)
         w.sent = s.now
-        s.desk.say(n, 'snap', {'grp': s.grp, 'view': s.view, 'op': op, 'stamp': vw, 'seats': sts, 'part': w.part,
-                               'last': i >= len(rows), 'rows': out})
+        s.desk.say(
+            n,
+            'snap',
+            {
+                'grp': s.grp,
+                'view': s.view,
+                'op': op,
+                'stamp': vw,
+                'seats': sts,
+                'part': w.part,
+                'last': i >= len(rows),
+                'rows': out,
+            },
+        )
 
     def on_snapped(self, src, m):
         w = self.ways.get(src)
@@ -257,7 +294,9 @@
         if any(not self._fresh(n) for n in s.others()):
             return False
         # seats lie apart: first where there are fewest
-        free = [n for n, w in self.ways.items() if n not in s.log.seats and w.ack and s.now - w.heard < s.cfg.silence_ms]
+        free = [
+            n for n, w in self.ways.items() if n not in s.log.seats and w.ack and s.now - w.heard < s.cfg.silence_ms
+        ]
         zone = s.zones.get
         return self._held(zone(new, '')) == min(self._held(zone(n, '')) for n in free)
 
@@ -273,7 +312,9 @@
 
     def _wished(self, new):
         # one that is back in sight keeps its seat, whatever was said of it
-        return next((o for o, n in self.wishes.items() if n == new and o in self.seat.log.seats and not self.sees(o)), '')
+        return next(
+            (o for o, n in self.wishes.items() if n == new and o in self.seat.log.seats and not self.sees(o)), ''
+        )
 
     def replace(self, old, new, sure=False):
         """An operator's word that `new` takes the seat of `old`: the name of a result code."""
@@ -300,8 +341,11 @@
         old = {n: self.ways[n].heard if n in self.ways else -1 for n in s.others()}
         zone = s.zones.get
         # in another zone it takes longer: the loss of one zone must leave a majority
-        old = {n: at for n, at in old.items()
-               if s.now - at > s.cfg.silence_ms * (far if zone(n) == zone(new) or zone(n) is None else max(far, APART))}
+        old = {
+            n: at
+            for n, at in old.items()
+            if s.now - at > s.cfg.silence_ms * (far if zone(n) == zone(new) or zone(n) is None else max(far, APART))
+        }
         # who was not heard for longest: another may only be on its way back
         return min(old, key=lambda n: (old[n], n)) if old else ''
 
@@ -316,9 +360,14 @@
     # --- handing over
     def _heirs(self, slow):
         s = self.seat
-        return sorted((n for n, w in self.ways.items() if w.inc == s.log.seats.get(n)
-                       and s.now - w.heard < s.cfg.silence_ms and (slow or not w.slow)),
-                      key=lambda n: (self.ways[n].slow, -self.ways[n].ack, n))
+        return sorted(
+            (
+                n
+                for n, w in self.ways.items()
+                if w.inc == s.log.seats.get(n) and s.now - w.heard < s.cfg.silence_ms and (slow or not w.slow)
+            ),
+            key=lambda n: (self.ways[n].slow, -self.ways[n].ack, n),
+        )
 
     def hand_over(self):
         """Names the sibling that is furthest; True when there is one."""
@@ -340,6 +389,7 @@
     def median_wall(self):
         """The wall clock by the median of the seats, so that one jumped clock is outvoted."""
         s = self.seat
-        offs = sorted([s.wall - s.now] + [w.off for n, w in self.ways.items()
-                                          if w.off is not None and n in s.log.seats])
+        offs = sorted(
+            [s.wall - s.now] + [w.off for n, w in self.ways.items() if w.off is not None and n in s.log.seats]
+        )
         return s.now + offs[(len(offs) - 1) // 2]
--- a/asterwharf/wire/ask.py
+++ b/asterwharf/wire/ask.py
@@ -90,8 +90,13 @@
 
     def request(self, addr, method, path, doc, then, ttl=5000, heads=()):
         body = b'' if doc is None else json.dumps(doc).encode()
-        rows = [f'{method} {path} HTTP/1.1', f'Host: {addr}', f'Content-Length: {len(body)}',
-                'Content-Type: application/json', *(f'{k}: {v}' for k, v in heads)]
+        rows = [
+            f'{method} {path} HTTP/1.1',
+            f'Host: {addr}',
+            f'Content-Length: {len(body)}',
+            'Content-Type: application/json',
+            *(f'{k}: {v}' for k, v in heads),
+        ]
         raw = ('\r\n'.join(rows) + '\r\n\r\n').encode() + body
         lst = self.pool[addr] = [w for w in self.pool.get(addr, ()) if not w.dead]
         idle = next((w for w in lst if w.live and w.job is None), None)
--- a/asterwharf/wire/daemon.py
+++ b/asterwharf/wire/daemon.py
@@ -225,8 +225,15 @@
     @handler('exception', channel='*')
     def _on_exception(self, typ, val, trace, handler=None, fevent=None):
         # a fault of ours must be seen, and a half-done change of state must not be acted on
-        logs.say('error', 'alarm', alarm='inner_fault', code=500, fault=f'{typ.__name__}: {val}', trace=trace,
-                 event=str(fevent)[:200])
+        logs.say(
+            'error',
+            'alarm',
+            alarm='inner_fault',
+            code=500,
+            fault=f'{typ.__name__}: {val}',
+            trace=trace,
+            event=str(fevent)[:200],
+        )
         if typ is not None and issubclass(typ, AssertionError):
             os._exit(70)
 
@@ -252,7 +259,8 @@
         # handing them round and round would only keep the groups from their work
         if not self.free or now >= self.hand:
             self.free, self.hand = self.idle(), now + self.b.set.view.silence_ms
-        done = all([p.idle() for p in self.parts]) and self.free and self.idle()
+        # every part is asked, also after one that is not idle
+        done = all([p.idle() for p in self.parts]) and self.free and self.idle()  # noqa: C419
         if done or now >= self.end:
             self.stop_now(0)
 
--- a/asterwharf/wire/frame.py
+++ b/asterwharf/wire/frame.py
@@ -36,7 +36,7 @@
                 raise Alien(f'a frame of {n} bytes')
             if len(self.buf) < LEN.size + n:
                 break
-            raw = bytes(self.buf[LEN.size:LEN.size + n])
-            del self.buf[:LEN.size + n]
+            raw = bytes(self.buf[LEN.size : LEN.size + n])
+            del self.buf[: LEN.size + n]
             out.append(unpack(raw))
         return out
