--- a/asterwharf/wire/kinds.py
+++ b/asterwharf/wire/kinds.py
@@ -22,12 +22,22 @@
 kind(11, 'sounded', {'grp': 's', 'view': 'l', 'ok': 'b', 'inc': 's'})
 kind(12, 'canvass', {'grp': 's', 'view': 'l', 'op': 'l', 'stamp': 'l'})
 kind(13, 'backed', {'grp': 's', 'view': 'l', 'ok': 'b', 'inc': 's'})
-kind(14, 'extend', {'grp': 's', 'view': 'l', 'beat': 'l', 'prev': 'l', 'stamp': 'l', 'upto': 'l',
-                    'entries': [_ENTRY]})
-kind(15, 'extended', {'grp': 's', 'view': 'l', 'beat': 'l', 'ok': 'b', 'op': 'l', 'inc': 's', 'wall': 'l',
-                      'slow': 'b'})
-kind(16, 'snap', {'grp': 's', 'view': 'l', 'op': 'l', 'stamp': 'l', 'seats': 'j', 'part': 'l', 'last': 'b',
-                  'rows': [{'k': 's', 'v': 'y'}]})
+kind(14, 'extend', {'grp': 's', 'view': 'l', 'beat': 'l', 'prev': 'l', 'stamp': 'l', 'upto': 'l', 'entries': [_ENTRY]})
+kind(15, 'extended', {'grp': 's', 'view': 'l', 'beat': 'l', 'ok': 'b', 'op': 'l', 'inc': 's', 'wall': 'l', 'slow': 'b'})
+kind(
+    16,
+    'snap',
+    {
+        'grp': 's',
+        'view': 'l',
+        'op': 'l',
+        'stamp': 'l',
+        'seats': 'j',
+        'part': 'l',
+        'last': 'b',
+        'rows': [{'k': 's', 'v': 'y'}],
+    },
+)
 kind(17, 'snapped', {'grp': 's', 'view': 'l', 'op': 'l', 'part': 'l'})
 kind(18, 'succeed', {'grp': 's', 'view': 'l'})
 kind(19, 'learn', {'grp': 's', 'inc': 's', 'op': 'l'})
@@ -44,18 +54,62 @@
 # --- the minion link, agent <-> edge <-> holder
 kind(40, 'auth', {'token': 's'})
 kind(41, 'authed', {'ok': 'b'})
-kind(42, 'register', {'minion': 's', 'inc': 's', 'zone': 's', 'cores': 'd', 'gpus': 'l', 'mem': 'l', 'labels': 'j',
-                      'drain': 'b', 'inflight': [_ROUND], 'edge': 's', 'nonce': 'l', 'stamp': 'l', 'sequence': 'l'})
-kind(43, 'ack', {'minion': 's', 'link': 'l', 'nonce': 'l', 'settings': 'j', 'sequence': 'l', 'emptied': 'b', 'ok': 'b', 'why': 's',
-                 'record': [dict(_ROUND, want='s', need='j', run='j')]})
+kind(
+    42,
+    'register',
+    {
+        'minion': 's',
+        'inc': 's',
+        'zone': 's',
+        'cores': 'd',
+        'gpus': 'l',
+        'mem': 'l',
+        'labels': 'j',
+        'drain': 'b',
+        'inflight': [_ROUND],
+        'edge': 's',
+        'nonce': 'l',
+        'stamp': 'l',
+        'sequence': 'l',
+    },
+)
+kind(
+    43,
+    'ack',
+    {
+        'minion': 's',
+        'link': 'l',
+        'nonce': 'l',
+        'settings': 'j',
+        'sequence': 'l',
+        'emptied': 'b',
+        'ok': 'b',
+        'why': 's',
+        'record': [dict(_ROUND, want='s', need='j', run='j')],
+    },
+)
 kind(44, 'beat', {'minion': 's', 'link': 'l', 'n': 'l', 'stamp': 'l'})
 kind(45, 'beaten', {'minion': 's', 'link': 'l', 'n': 'l', 'sequence': 'l', 'emptied': 'b', 'drain': 'b'})
-kind(46, 'order', {'minion': 's', 'link': 'l', 'what': 's', 'task': 's', 'round': 'l', 'need': 'j', 'run': 'j',
-                   'stamp': 'l', 'sequence': 'l'})
+kind(
+    46,
+    'order',
+    {
+        'minion': 's',
+        'link': 'l',
+        'what': 's',
+        'task': 's',
+        'round': 'l',
+        'need': 'j',
+        'run': 'j',
+        'stamp': 'l',
+        'sequence': 'l',
+    },
+)
 kind(47, 'probe', {'minion': 's', 'link': 'l'})
 kind(48, 'stamped', {'minion': 's', 'link': 'l', 'stamp': 'l'})
-kind(49, 'status', {'minion': 's', 'link': 'l', 'stamp': 'l',
-                    'items': [dict(_ROUND, n='l', what='s', why='s', at='l')]})
+kind(
+    49, 'status', {'minion': 's', 'link': 'l', 'stamp': 'l', 'items': [dict(_ROUND, n='l', what='s', why='s', at='l')]}
+)
 kind(50, 'statused', {'minion': 's', 'link': 'l', 'n': 'S'})
 kind(51, 'tell', {'minion': 's', 'link': 'l', 'lines': [{'what': 's', 'at': 'l', 'text': 's'}]})
 kind(52, 'drain', {'minion': 's', 'link': 'l', 'on': 'b', 'stamp': 'l'})
@@ -77,8 +131,23 @@
 _PLACE = {'at': 'l', 'sequence': 'l', 'bundles': [{'items': [{'task': 's', 'round': 'l', 'minion': 's'}]}]}
 # `apart`: nothing starts whose older round a connected minion still has; older seats know no such rule
 kind(122, 't_place', _PLACE, (3, dict(_PLACE, apart='b')))
-kind(123, 't_register', {'minion': 's', 'inc': 's', 'edge': 's', 'zone': 's', 'cores': 'd', 'gpus': 'l', 'mem': 'l',
-                         'labels': 'j', 'drain': 'b', 'inflight': [_ROUND], 'at': 'l'})
+kind(
+    123,
+    't_register',
+    {
+        'minion': 's',
+        'inc': 's',
+        'edge': 's',
+        'zone': 's',
+        'cores': 'd',
+        'gpus': 'l',
+        'mem': 'l',
+        'labels': 'j',
+        'drain': 'b',
+        'inflight': [_ROUND],
+        'at': 'l',
+    },
+)
 kind(124, 't_down', {'minion': 's', 'link': 'l', 'why': 's', 'purpose': 'b', 'at': 'l'})
 _STATUS = {'minion': 's', 'link': 'l', 'at': 'l', 'items': [dict(_ROUND, n='l', what='s', why='s', at='l')]}
 # `unheard`: the ending of a round given up without word counts while no newer round is delivered, and
@@ -99,14 +168,60 @@
 kind(135, 't_handed', (2, {'what': 's'}))
 kind(136, 't_yield', (2, {'minion': 's', 'to': 's'}))
 # --- rows on disk
-_TASK = {'name': 's', 'state': 's', 'round': 'l', 'used': 'l', 'tries': 'l', 'minion': 's', 'after': 'S', 'due': 'l',
-         'cores': 'd', 'gpus': 'l', 'mem': 'l', 'gang': 's', 'run': 'j', 'why': 's', 'pre': 's', 'want': 's',
-         'boot': 's', 'hold': 'l', 'avoid': 'S', 'hist': 'S', 'start': 'l', 'end': 'l', 'zones': 'S'}
-_JOB = {'tenant': 's', 'id': 's', 'sum': 's', 'cls': 's', 'at': 'l', 'end': 'l', 'fate': 's', 'why': 's', 'tasks': [_TASK]}
+_TASK = {
+    'name': 's',
+    'state': 's',
+    'round': 'l',
+    'used': 'l',
+    'tries': 'l',
+    'minion': 's',
+    'after': 'S',
+    'due': 'l',
+    'cores': 'd',
+    'gpus': 'l',
+    'mem': 'l',
+    'gang': 's',
+    'run': 'j',
+    'why': 's',
+    'pre': 's',
+    'want': 's',
+    'boot': 's',
+    'hold': 'l',
+    'avoid': 'S',
+    'hist': 'S',
+    'start': 'l',
+    'end': 'l',
+    'zones': 'S',
+}
+_JOB = {
+    'tenant': 's',
+    'id': 's',
+    'sum': 's',
+    'cls': 's',
+    'at': 'l',
+    'end': 'l',
+    'fate': 's',
+    'why': 's',
+    'tasks': [_TASK],
+}
 kind(140, 'r_job', _JOB, (3, dict(_JOB, tasks=[dict(_TASK, won='l')])))
-_MINION = {'name': 's', 'inc': 's', 'edge': 's', 'zone': 's', 'link': 'l', 'up': 'b', 'drain': 'b',
-           'opdrain': 'b', 'cores': 'd', 'gpus': 'l', 'mem': 'l', 'labels': 'j', 'why': 's', 'at': 'l',
-           'strays': [dict(_ROUND, cores='d', gpus='l', mem='l')]}
+_MINION = {
+    'name': 's',
+    'inc': 's',
+    'edge': 's',
+    'zone': 's',
+    'link': 'l',
+    'up': 'b',
+    'drain': 'b',
+    'opdrain': 'b',
+    'cores': 'd',
+    'gpus': 'l',
+    'mem': 'l',
+    'labels': 'j',
+    'why': 's',
+    'at': 'l',
+    'strays': [dict(_ROUND, cores='d', gpus='l', mem='l')],
+}
 kind(141, 'r_minion', _MINION, (3, dict(_MINION, until='l')))
 _META = {'sequence': 'l', 'emptied': 'S', 'gone': 'S'}
 kind(142, 'r_meta', _META, (2, dict(_META, leaving='j', yielded='j', owned='j')))
--- a/asterwharf/wire/schema.py
+++ b/asterwharf/wire/schema.py
@@ -15,8 +15,15 @@
 # what this release speaks; a peer's is in its hello
 PROTO = 4
 
-_PLAIN = {'s': 'string', 'l': 'long', 'd': 'double', 'y': 'bytes', 'b': 'boolean', 'j': 'string',
-          'S': {'type': 'array', 'items': 'string'}}
+_PLAIN = {
+    's': 'string',
+    'l': 'long',
+    'd': 'double',
+    'y': 'bytes',
+    'b': 'boolean',
+    'j': 'string',
+    'S': {'type': 'array', 'items': 'string'},
+}
 _ZERO = {'s': '', 'l': 0, 'd': 0.0, 'b': False, 'j': 'null', 'S': []}
 
 
--- a/bench/holds.py
+++ b/bench/holds.py
@@ -30,9 +30,11 @@
         for h in (False, True):
             rows = [r for r in got if r[:2] == (n, h)]
             short, back, more = ([r[i] for r in rows] for i in (2, 3, 4))
-            print(f'{n:16} {"hold" if h else "stop":5} rounds cut short: {sum(short):4} (a run {statistics.mean(short):.1f}, '
-                  f'{min(short)} to {max(short)}), gone on {sum(back)}, starts beyond the successes {sum(more)}, '
-                  f'failed runs {sum(r[5] > 0 for r in rows)}')
+            print(
+                f'{n:16} {"hold" if h else "stop":5} rounds cut short: {sum(short):4} (a run {statistics.mean(short):.1f}, '
+                f'{min(short)} to {max(short)}), gone on {sum(back)}, starts beyond the successes {sum(more)}, '
+                f'failed runs {sum(r[5] > 0 for r in rows)}'
+            )
 
 
 if __name__ == '__main__':
--- a/bench/hours.py
+++ b/bench/hours.py
@@ -36,8 +36,10 @@
     outside = sum(k.startswith('sweeps/out') and beg < at < end for k, at in f.obs.ends.items())
     f.w.heal()
     ok = f.settle() and not f.obs.broken and inside > n and outside > n
-    print(f'{hours} h cut off, {2 * n} jobs: {inside} tasks ended inside, {outside} outside, before it healed; '
-          f'{len(f.obs.kept)} kept, {len(f.obs.unfinished())} not ended, broken: {f.obs.broken[:3]}, {f.obs.count}')
+    print(
+        f'{hours} h cut off, {2 * n} jobs: {inside} tasks ended inside, {outside} outside, before it healed; '
+        f'{len(f.obs.kept)} kept, {len(f.obs.unfinished())} not ended, broken: {f.obs.broken[:3]}, {f.obs.count}'
+    )
     sys.exit(0 if ok else 1)
 
 
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -46,7 +46,9 @@
     'holder killed': lambda f: f.w.kill(f.holder('commons')),
     'holder leaves': lambda f: f.w._do(f.w.hosts[f.holder('commons')], lambda n=f.holder('commons'): leave(f.node(n))),
     'holder frozen': lambda f: f.w.freeze(f.holder('commons')),
-    'holder cut off': lambda f: f.w.part([f.holder('commons')], [n for n in f.core + f.edges if n != f.holder('commons')]),
+    'holder cut off': lambda f: f.w.part(
+        [f.holder('commons')], [n for n in f.core + f.edges if n != f.holder('commons')]
+    ),
     'holder disk slow': lambda f: setattr(f.w.hosts[f.holder('commons')], 'slow', 2500),
     'holder wiped': lambda f: (lambda n: (f.w.kill(n), f.w.wipe(n), f.w.start(n)))(f.holder('commons')),
     'edge killed': lambda f: f.w.kill(f.edges[0]),
@@ -75,8 +77,13 @@
     """Start delay of the urgent class while sweeps flood every minion."""
     f = _ready(seed)
     for i in range(600):
-        f.w.after(i * 20, f.call.submit, 'sweeps', f's{i}',
-                  {'class': 'sweep', 'tasks': [{'name': 'a', 'cores': 4, 'run': {'ms': 1500}}]})
+        f.w.after(
+            i * 20,
+            f.call.submit,
+            'sweeps',
+            f's{i}',
+            {'class': 'sweep', 'tasks': [{'name': 'a', 'cores': 4, 'run': {'ms': 1500}}]},
+        )
     at = {}
     for i in range(100):
         f.w.after(2000 + i * 100, lambda i=i: (at.update({i: f.w.t}), f.call.submit('basin', f'u{i}', SMALL)))
@@ -86,7 +93,7 @@
 
 def _spread(xs):
     xs = sorted(xs)
-    return f'median {statistics.median(xs):.0f}, p99 {xs[int(len(xs) * .99)]:.0f}, max {xs[-1]:.0f}, n {len(xs)}'
+    return f'median {statistics.median(xs):.0f}, p99 {xs[int(len(xs) * 0.99)]:.0f}, max {xs[-1]:.0f}, n {len(xs)}'
 
 
 @app.command
@@ -98,7 +105,9 @@
         xs = [g[0].get(k, 0) for g in got]
         if abs(statistics.mean(xs)) > 0.05:
             idle = statistics.mean(g[1].get(k, 0) for g in got) / 20
-            print(f'{k:10} a job {statistics.mean(xs):7.2f} ({min(xs):.2f} to {max(xs):.2f})   idle {idle:7.1f} a second')
+            print(
+                f'{k:10} a job {statistics.mean(xs):7.2f} ({min(xs):.2f} to {max(xs):.2f})   idle {idle:7.1f} a second'
+            )
 
 
 @app.command
--- a/bench/rig.py
+++ b/bench/rig.py
@@ -46,6 +46,7 @@
 
     def shut(self, sock):
         """Connections of the bench never close."""
+
     finish = cut = deaf = shut
 
     def again(self):
@@ -77,9 +78,19 @@
         i = len(rig.boxes) + 1
         self.rig, self.name, self.core, self.bind = rig, name, core, f'10.0.0.{i}:7300'
         seeds = ','.join(f'10.0.0.{k}:8144' for k in range(1, 4))
-        txt = [f'node_name={name}', 'serves=' + ('control' if core else 'edge'), f'ip=10.0.0.{i}', f'zone=z{i % 3}',
-               f'listen_on.control=10.0.0.{i}:8144', 'internal_ports=7300,7310', 'first_boot=true', f'seed_nodes={seeds}',
-               f'data_dir={folder}/{name}', 'limits.disk_mb=512', 'survive.machines=1']
+        txt = [
+            f'node_name={name}',
+            'serves=' + ('control' if core else 'edge'),
+            f'ip=10.0.0.{i}',
+            f'zone=z{i % 3}',
+            f'listen_on.control=10.0.0.{i}:8144',
+            'internal_ports=7300,7310',
+            'first_boot=true',
+            f'seed_nodes={seeds}',
+            f'data_dir={folder}/{name}',
+            'limits.disk_mb=512',
+            'survive.machines=1',
+        ]
         rows = settings.Rows('\n'.join(txt))
         st = own.check(settings.made(rows)).ok
         self.store = Store(st.data, st.disk_mb)
@@ -212,9 +223,21 @@
     def beat(self):
         self.out, self.count = True, self.count + 1
         rows = [[k, r, '', 10 + self.rig.t % 80] for k, (r, _) in self.runs.items()]
-        doc = {'service_name': GROUP, 'address': '10.9.0.1:80', 'zone': 'z1', 'version': 'v1', 'slots': 8, 'state': 'ready',
-               'cold_left_ms': 0, 'capacity': {'cpu': 32000, 'mem_mb': 64000, 'gpus': 0}, 'labels': ['a', self.rack],
-               'clock_ms': self.rig.t, 'call_count': self.count, 'running': rows, 'finished': list(self.ended.values())}
+        doc = {
+            'service_name': GROUP,
+            'address': '10.9.0.1:80',
+            'zone': 'z1',
+            'version': 'v1',
+            'slots': 8,
+            'state': 'ready',
+            'cold_left_ms': 0,
+            'capacity': {'cpu': 32000, 'mem_mb': 64000, 'gpus': 0},
+            'labels': ['a', self.rack],
+            'clock_ms': self.rig.t,
+            'call_count': self.count,
+            'running': rows,
+            'finished': list(self.ended.values()),
+        }
         self.rig.count.update(beats=1, listed=len(rows))
         self.rig.call(self.box, self.sock, 'POST', f'/minions/{self.id}/heartbeat', doc)
 
@@ -301,8 +324,18 @@
 
     # --- what callers do
     def queue(self, i):
-        return {'name': f'r-{i}', 'host_name': HOST, 'path_prefix': f'/q{i}/', 'route_kind': 'writing', 'timeout_ms': 3000,
-                'target_ms': 2000, 'priority': i % 3, 'service_name': GROUP, 'tries': 2, 'stretch': 2.0}
+        return {
+            'name': f'r-{i}',
+            'host_name': HOST,
+            'path_prefix': f'/q{i}/',
+            'route_kind': 'writing',
+            'timeout_ms': 3000,
+            'target_ms': 2000,
+            'priority': i % 3,
+            'service_name': GROUP,
+            'tries': 2,
+            'stretch': 2.0,
+        }
 
     def config(self, routes):
         self.number += 1
@@ -318,8 +351,13 @@
     def submit(self, tasks=1, **more):
         self.jobs += 1
         self.sent[f'{self.jobs:016x}'] = self.t
-        doc = {'job_spec': 'x' * 200, 'steps': [{'count': tasks, 'cpu': 1000, 'mem_mb': 1000, 'estimate_ms': 5000}]} | more
-        self.call(self.edges[self.jobs % len(self.edges)], Sock(), 'POST', f'/q{self.jobs % QUEUES}/{self.jobs:016x}', doc)
+        doc = {
+            'job_spec': 'x' * 200,
+            'steps': [{'count': tasks, 'cpu': 1000, 'mem_mb': 1000, 'estimate_ms': 5000}],
+        } | more
+        self.call(
+            self.edges[self.jobs % len(self.edges)], Sock(), 'POST', f'/q{self.jobs % QUEUES}/{self.jobs:016x}', doc
+        )
 
     def state(self, i):
         k = i % self.jobs + 1
--- a/bench/scale/__main__.py
+++ b/bench/scale/__main__.py
@@ -17,10 +17,25 @@
 
 
 @app.default
-def main(*, seconds: float = 90, workers: int = 1400, starts: float = 640, running: Optional[int] = None, teams: int = 55,
-         core: int = 3, edges: int = 11, levels: str = '0.25,0.5,0.75,1', configs: int = 6, faults: bool = True, calm: float = 0.25,
-         profile: bool = False, seed: int = 1, out: Optional[Path] = None, folder: Optional[Path] = None,
-         commit: str = ''):
+def main(
+    *,
+    seconds: float = 90,
+    workers: int = 1400,
+    starts: float = 640,
+    running: Optional[int] = None,
+    teams: int = 55,
+    core: int = 3,
+    edges: int = 11,
+    levels: str = '0.25,0.5,0.75,1',
+    configs: int = 6,
+    faults: bool = True,
+    calm: float = 0.25,
+    profile: bool = False,
+    seed: int = 1,
+    out: Optional[Path] = None,
+    folder: Optional[Path] = None,
+    commit: str = '',
+):
     """Plays the planned size: real core nodes and edges, hollow minions and clients; reports as JSON.
 
     Parameters
@@ -64,7 +79,18 @@
     folder = Path(folder or tempfile.mkdtemp(prefix='asterwharf-scale-'))
     size = Size(workers, starts, int(starts * 4500 / 640) if running is None else running, teams, core, edges)
     try:
-        rep = Scale(folder, size, seconds, [float(v) for v in levels.split(',')], faults, calm, configs, profile, seed, commit=commit).run()
+        rep = Scale(
+            folder,
+            size,
+            seconds,
+            [float(v) for v in levels.split(',')],
+            faults,
+            calm,
+            configs,
+            profile,
+            seed,
+            commit=commit,
+        ).run()
     except KeyboardInterrupt:
         sys.exit(130)
     finally:
--- a/bench/scale/hollow.py
+++ b/bench/scale/hollow.py
@@ -29,20 +29,58 @@
 
     def __init__(self, key, ms, cpu, gang):
         # `start`: when it began to work; 0 while a gang waits for its members
-        self.key, self.ms, self.cpu, self.gang, self.start, self.end, self.stopping, self.saved = key, ms, cpu, gang, 0, False, False, ''
+        self.key, self.ms, self.cpu, self.gang, self.start, self.end, self.stopping, self.saved = (
+            key,
+            ms,
+            cpu,
+            gang,
+            0,
+            False,
+            False,
+            '',
+        )
 
 
 class Minion:
     """One life of a minion."""
 
-    __slots__ = ('addr', 'barred', 'count', 'doc', 'due', 'fails', 'fence', 'finished', 'h', 'hold', 'last', 'n', 'node', 'out', 'region',
-                 'runs', 'sent', 'up', 'zone', 'mid', 'free')
+    __slots__ = (
+        'addr',
+        'barred',
+        'count',
+        'doc',
+        'due',
+        'fails',
+        'fence',
+        'finished',
+        'h',
+        'hold',
+        'last',
+        'n',
+        'node',
+        'out',
+        'region',
+        'runs',
+        'sent',
+        'up',
+        'zone',
+        'mid',
+        'free',
+    )
 
     def __init__(self, h, row):
         self.h, self.mid, self.zone, self.region = h, row['id'], row['zone'], row['region']
-        self.doc = {'service_name': row['group'], 'address': row['address'], 'zone': row['zone'], 'version': 'v1', 'slots': 8,
-                    'state': 'ready', 'cold_left_ms': 0, 'capacity': {'cpu': row['cpu'], 'mem_mb': row['mem'], 'gpus': 0},
-                    'labels': ['a', row['rack']]}
+        self.doc = {
+            'service_name': row['group'],
+            'address': row['address'],
+            'zone': row['zone'],
+            'version': 'v1',
+            'slots': 8,
+            'state': 'ready',
+            'cold_left_ms': 0,
+            'capacity': {'cpu': row['cpu'], 'mem_mb': row['mem'], 'gpus': 0},
+            'labels': ['a', row['rack']],
+        }
         self.free, self.runs, self.finished, self.barred, self.n, self.last = row['cpu'], {}, {}, {}, 0, 0
         self.addr, self.node, self.fails, self.fence, self.count, self.hold = '', '', 0, 0, 0, 0
         self.up, self.out, self.due, self.sent = True, False, 0, 0
@@ -61,7 +99,10 @@
             self.node = h.pick(self)
         self.count, self.out, self.last, self.sent = self.count + 1, True, self.n, boot_ms()
         now = self.sent
-        run = [[t, n, r.saved, min(99, (now - r.start) * 100 // max(1, r.ms)) if r.start else 0] for (t, n), r in self.runs.items()]
+        run = [
+            [t, n, r.saved, min(99, (now - r.start) * 100 // max(1, r.ms)) if r.start else 0]
+            for (t, n), r in self.runs.items()
+        ]
         fin = [e for _, e in zip(range(ENDS), self.finished.values())]
         raw = json.dumps(dict(self.doc, clock_ms=now, call_count=self.count, running=run, finished=fin)).encode()
         self._call(self.addr or self.node, raw, 2)
@@ -71,8 +112,9 @@
             # into a cut: nothing comes back
             return self.h.wire.after(ANSWER, self._answer, addr, raw, 0, 0, {}, b'')
         left = max(1, ANSWER - (boot_ms() - self.sent))
-        self.h.wire.request(addr, 'POST', f'/minions/{self.mid}/heartbeat', raw,
-                            lambda *a: self._answer(addr, raw, hops, *a), left)
+        self.h.wire.request(
+            addr, 'POST', f'/minions/{self.mid}/heartbeat', raw, lambda *a: self._answer(addr, raw, hops, *a), left
+        )
 
     def _answer(self, addr, raw, hops, status, heads, body):
         if not self.up:
@@ -81,7 +123,7 @@
         h.seen['silent' if not status else status] += 1
         to = heads.get(b'location', b'').decode()
         if status == 307 and hops and to:
-            return self._call(to[len('http://'):].partition('/')[0], raw, hops - 1)
+            return self._call(to[len('http://') :].partition('/')[0], raw, hops - 1)
         self.out = False
         # the heartbeat that failed is made up anew for the next node
         if not 200 <= status < 300 or not h.reaches(self.region, addr):
@@ -186,7 +228,7 @@
         self.h, self.home, self.mine = h, {}, {}
 
     def name(self, key):
-        return f"{key[0].rpartition('.')[0]}#{key[1]}"
+        return f'{key[0].rpartition(".")[0]}#{key[1]}'
 
     def _say(self, g, op, to=None, **kws):
         raw = json.dumps(dict(kws, op=op, gang=g)).encode()
@@ -271,8 +313,16 @@
 
     def flush(self):
         ds = sorted(self.delay)
-        self.log('b', dict(self.seen), sum(len(m.runs) for m in self.all if m.up), ds[len(ds) // 2] if ds else 0,
-                 ds[len(ds) * 99 // 100] if ds else 0, self.wire.put, self.wire.got, sum(m.fence > 0 for m in self.all))
+        self.log(
+            'b',
+            dict(self.seen),
+            sum(len(m.runs) for m in self.all if m.up),
+            ds[len(ds) // 2] if ds else 0,
+            ds[len(ds) * 99 // 100] if ds else 0,
+            self.wire.put,
+            self.wire.got,
+            sum(m.fence > 0 for m in self.all),
+        )
         self.seen, self.delay = Counter(), []
         rows, self.rows = self.rows, []
         self.out.write('\n'.join(rows) + '\n')
--- a/bench/scale/hollow_clients.py
+++ b/bench/scale/hollow_clients.py
@@ -14,7 +14,12 @@
 from bench.scale.hollow_wire import Datagrams, Wire
 
 # kind: (share of all starts, tasks of each step, whether they work together)
-MIX = {'urgent': (0.05, (3,), False), 'plain': (0.65, (8,), False), 'chain': (0.2, (4, 8), False), 'gang': (0.1, (), True)}
+MIX = {
+    'urgent': (0.05, (3,), False),
+    'plain': (0.65, (8,), False),
+    'chain': (0.2, (4, 8), False),
+    'gang': (0.1, (), True),
+}
 # members of a gang, and how often each size comes
 GANGS, OFTEN = (8, 16, 32, 64, 128), (40, 20, 10, 5, 3)
 # ms: an urgent task's work; what a client still waits; between the sends of one job; between questions about its state
@@ -73,7 +78,7 @@
 
     def call(self, method, q, path, body, then):
         """A request at an edge of any zone; uneven shares are left to the platform."""
-        heads = f"{q['host']}\r\nX-Asterwharf-Time-Left-Ms: {LEFT}"
+        heads = f'{q["host"]}\r\nX-Asterwharf-Time-Left-Ms: {LEFT}'
         self.wire.request(self.rng.choice(self.cfg['edges']), method, q['prefix'] + path, body, then, LEFT, heads)
 
     def send(self, jid, q, body, ms, n):
@@ -85,6 +90,7 @@
             if n >= TRIES or 400 <= status < 500 and status != 429:
                 return self.log('lost', jid, status)
             self.wire.after(AGAIN << min(n, 3), self.send, jid, q, body, ms, n + 1)
+
         self.call('POST', q, jid, body, then)
 
     def ask(self, jid, q, n):
@@ -95,6 +101,7 @@
                 return self.log('end', jid, got or 'unknown')
             if n < ASKS:
                 self.wire.after(ASK, self.ask, jid, q, n + 1)
+
         self.call('GET', q, jid, b'', then)
 
     def flush(self):
--- a/bench/scale/hollow_wire.py
+++ b/bench/scale/hollow_wire.py
@@ -131,7 +131,9 @@
     # --- requests
     def request(self, addr, method, path, body, then, ttl, heads=''):
         """A request to `addr` (IP:port); `ttl` in ms."""
-        raw = f'{method} {path} HTTP/1.1\r\nHost: {heads or addr}\r\nContent-Length: {len(body)}\r\n\r\n'.encode() + body
+        raw = (
+            f'{method} {path} HTTP/1.1\r\nHost: {heads or addr}\r\nContent-Length: {len(body)}\r\n\r\n'.encode() + body
+        )
         self.put += len(raw)
         pool = self.idle.get(addr)
         c = pool.pop() if pool else Conn(self, addr)
--- a/bench/scale/scale.py
+++ b/bench/scale/scale.py
@@ -10,10 +10,10 @@
 from pathlib import Path
 
 from asterwharf.clock.boot import boot_ms
+from asterwharf.sickle.ask import one
 from bench.scale.hollow_clients import MIX, URGENT
 from bench.scale.scale_procs import BOUNDS, GROUPS, REGIONS, ROOT, Procs
 from bench.scale.scale_report import Rows, plots, stats, use
-from asterwharf.sickle.ask import one
 
 # of the run: how long the faults take, of which each begins with a calm part, and how long nothing new comes at the end
 FAULTS, CALM, QUIET = 0.4, 0.2, 0.12
--- a/bench/scale/scale_entry.py
+++ b/bench/scale/scale_entry.py
@@ -49,12 +49,19 @@
                 self.prof.dump_stats(self.path(dmn, 'prof'))
             self.write(dmn)
             stop(dmn, code)
+
         tcp.send, Daemon._look, Daemon.stop_now, Daemon._settle = sends, looks, stops, settles
 
     def write(self, dmn):
         turns, self.turns = sorted(self.turns), []
-        row = {'at': boot_ms(), 'sent': self.sent, 'holds': [g for g, h in dmn.b.holders.items() if h[0] == dmn.b.me],
-               'turns': len(turns), 'turn_max': turns[-1] if turns else 0, 'counts': dict(dmn.b.count)}
+        row = {
+            'at': boot_ms(),
+            'sent': self.sent,
+            'holds': [g for g, h in dmn.b.holders.items() if h[0] == dmn.b.me],
+            'turns': len(turns),
+            'turn_max': turns[-1] if turns else 0,
+            'counts': dict(dmn.b.count),
+        }
         with open(self.path(dmn, 'stats'), 'a', encoding='utf-8') as f:
             f.write(json.dumps(row) + '\n')
 
@@ -79,6 +86,7 @@
         if w.prof:
             w.prof.enable()
         return dmn
+
     start.build = built
     return start.main(role, os.environ.get(start.ENV, ''))
 
--- a/bench/scale/scale_procs.py
+++ b/bench/scale/scale_procs.py
@@ -20,9 +20,23 @@
 CONTROL, FRONT, READY, INNER, PEER = 18166, 18161, 18167, 17720, 19000
 HZ = os.sysconf('SC_CLK_TCK')
 # the bounds of a deployment, as the platform tells them; times as the field's name says
-BOUNDS = {'in_touch_ms': 3000, 'ack_within_ms': 4000, 'catch_up_s': 4, 'drain_ms': 2000, 'grace_s': 6, 'max_hold_ms': 6000,
-          'stop_grace_ms': 400, 'gang_wait_ms': 3000, 'cancel_ms': 3000, 'early_ms': 250, 'status_s': 120, 'far_factor': 3,
-          'checkpoint_every_s': 1, 'restore_ms': 100, 'evacuate_ms': 5000}
+BOUNDS = {
+    'in_touch_ms': 3000,
+    'ack_within_ms': 4000,
+    'catch_up_s': 4,
+    'drain_ms': 2000,
+    'grace_s': 6,
+    'max_hold_ms': 6000,
+    'stop_grace_ms': 400,
+    'gang_wait_ms': 3000,
+    'cancel_ms': 3000,
+    'early_ms': 250,
+    'status_s': 120,
+    'far_factor': 3,
+    'checkpoint_every_s': 1,
+    'restore_ms': 100,
+    'evacuate_ms': 5000,
+}
 BEAT = 1500
 
 
@@ -71,18 +85,35 @@
         # a rack stands in one zone, its minions belong to one service, and play in one process where that can be
         rack = i // max(1, min(8, self.size.workers // GROUPS))
         z = rack % ZONES
-        return {'id': f'i-{i:05}', 'zone': f'zone-{z}', 'region': f'region-{z % REGIONS}', 'rack': f'r{z}-{rack}',
-                'group': f'service-{rack % GROUPS}', 'address': f'10.128.{i // 250}.{i % 250}:8080',
-                'cpu': self.size.cpu, 'mem': 262144}
+        return {
+            'id': f'i-{i:05}',
+            'zone': f'zone-{z}',
+            'region': f'region-{z % REGIONS}',
+            'rack': f'r{z}-{rack}',
+            'group': f'service-{rack % GROUPS}',
+            'address': f'10.128.{i // 250}.{i % 250}:8080',
+            'cpu': self.size.cpu,
+            'mem': 262144,
+        }
 
     # --- settings
     def settings(self, n, first):
         core = n in self.core
-        rows = {'node_name': n, 'role': 'trellis' if core else 'furrow', 'machine_class': 'core' if core else 'edge',
-                'serves': 'control' if core else 'edge', 'ip': self.ip[n], 'zone': f'zone-{self.zone[n]}', 'region': self.region(n),
-                'internal_ports': f'{INNER},{INNER + 9}', 'first_boot': str(first).lower(), 'beat_every_ms': BEAT,
-                'seed_nodes': ','.join(self.control(c) for c in self.core[:3]), 'commands': 'heartbeat',
-                'limits.disk_mb': 512 if core else 0}
+        rows = {
+            'node_name': n,
+            'role': 'trellis' if core else 'furrow',
+            'machine_class': 'core' if core else 'edge',
+            'serves': 'control' if core else 'edge',
+            'ip': self.ip[n],
+            'zone': f'zone-{self.zone[n]}',
+            'region': self.region(n),
+            'internal_ports': f'{INNER},{INNER + 9}',
+            'first_boot': str(first).lower(),
+            'beat_every_ms': BEAT,
+            'seed_nodes': ','.join(self.control(c) for c in self.core[:3]),
+            'commands': 'heartbeat',
+            'limits.disk_mb': 512 if core else 0,
+        }
         if core:
             rows.update({'listen_on.control': self.control(n), 'data_dir': self.dir / 'data' / n})
         else:
@@ -95,16 +126,25 @@
     # --- starts and ends
     def _spawn(self, n, role, args, env=None):
         with open(self.dir / f'{n}.log', 'ab') as log:
-            p = subprocess.Popen([sys.executable, '-m', *args], stdout=log, stderr=log, stdin=subprocess.DEVNULL,
-                                 env=dict(os.environ, PYTHONPATH=str(ROOT), **(env or {})))
+            p = subprocess.Popen(
+                [sys.executable, '-m', *args],
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                env=dict(os.environ, PYTHONPATH=str(ROOT), **(env or {})),
+            )
         self.live[n], self.roles[n] = p, role
         return p
 
     def node(self, n, first=False):
         role = 'trellis' if n in self.core else 'furrow'
         more = ['profile'] if self.profile and role == 'trellis' else []
-        self._spawn(n, role, ['bench.scale.scale_entry', str(START), role, str(self.dir), *more],
-                    {'ASTERWHARF_CONFIG': self.settings(n, first)})
+        self._spawn(
+            n,
+            role,
+            ['bench.scale.scale_entry', str(START), role, str(self.dir), *more],
+            {'ASTERWHARF_CONFIG': self.settings(n, first)},
+        )
 
     def hollow(self, work_ms, queues):
         """The processes that play minions and clients."""
@@ -113,12 +153,21 @@
         peers = [f'127.0.0.1:{p}' for p in udp_ports(num + sz.clients)]
         self.peers, self.callers = peers[:num], peers[num:]
         per = -(-len(self.minions) // num // 8) * 8
-        base = {'beat_ms': BEAT, 'max_hold_ms': BOUNDS['max_hold_ms'], 'stop_grace_ms': BOUNDS['stop_grace_ms'],
-                'gang_wait_ms': BOUNDS['gang_wait_ms'], 'task_cpu': sz.task_cpu, 'peers': self.peers, 'work_ms': work_ms,
-                'control': [self.control(c) for c in self.core], 'edges': [self.front(e) for e in self.edges], 'queues': queues,
-                'regions': {self.control(c): self.region(c) for c in self.core}}
+        base = {
+            'beat_ms': BEAT,
+            'max_hold_ms': BOUNDS['max_hold_ms'],
+            'stop_grace_ms': BOUNDS['stop_grace_ms'],
+            'gang_wait_ms': BOUNDS['gang_wait_ms'],
+            'task_cpu': sz.task_cpu,
+            'peers': self.peers,
+            'work_ms': work_ms,
+            'control': [self.control(c) for c in self.core],
+            'edges': [self.front(e) for e in self.edges],
+            'queues': queues,
+            'regions': {self.control(c): self.region(c) for c in self.core},
+        }
         for i, a in enumerate(self.peers):
-            self._hollow(f'minions-{i}', 'hollow', dict(base, peer=a, minions=self.minions[i * per:(i + 1) * per]))
+            self._hollow(f'minions-{i}', 'hollow', dict(base, peer=a, minions=self.minions[i * per : (i + 1) * per]))
         for i, a in enumerate(self.callers):
             self._hollow(f'clients-{i}', 'hollow_clients', dict(base, peer=a))
 
--- a/bench/scale/scale_report.py
+++ b/bench/scale/scale_report.py
@@ -53,8 +53,13 @@
         secs = max(0.001, (end - beg) / 1000)
         n = sum(beg <= s[0] < end for s in self.starts)
         jobs = {i: j for i, j in self.jobs.items() if beg <= j[0] < end}
-        out = {'seconds': round(secs, 1), 'offered_starts_s': round(sum(j[2] for j in jobs.values()) / secs, 1),
-               'starts_s': round(n / secs, 1), 'jobs': len(jobs), 'kept': sum(i in self.kept for i in jobs)}
+        out = {
+            'seconds': round(secs, 1),
+            'offered_starts_s': round(sum(j[2] for j in jobs.values()) / secs, 1),
+            'starts_s': round(n / secs, 1),
+            'jobs': len(jobs),
+            'kept': sum(i in self.kept for i in jobs),
+        }
         for kind in ('urgent', 'plain', 'gang'):
             ids = [i for i, j in jobs.items() if j[1] == kind]
             ds = [self.first[k] - jobs[i][0] for i in ids for k in self._tasks(i, jobs[i][2]) if k in self.first]
@@ -102,7 +107,12 @@
             if k in gone and n > gone[k]:
                 got.setdefault(k, t - at)
         ds = list(got.values())
-        return {'tasks': len(gone), 'half_ms': pct(ds, 0.5), '99 of 100_ms': pct(ds, 0.99), 'not_again': len(gone) - len(got)}
+        return {
+            'tasks': len(gone),
+            'half_ms': pct(ds, 0.5),
+            '99 of 100_ms': pct(ds, 0.99),
+            'not_again': len(gone) - len(got),
+        }
 
     def twice(self):
         """Tasks with two runs at once, and tasks started after an end `done` that was noted before the minion's hold lapsed."""
@@ -131,8 +141,14 @@
 
     def totals(self):
         states = Counter(v[1] for v in self.over.values())
-        return {'jobs': len(self.jobs), 'kept': len(self.kept), 'not_kept': len(self.lost), 'by_state': dict(states),
-                'starts': len(self.starts), 'runs_ended': dict(Counter(h for _, h in self.ends.values()))} | self.twice()
+        return {
+            'jobs': len(self.jobs),
+            'kept': len(self.kept),
+            'not_kept': len(self.lost),
+            'by_state': dict(states),
+            'starts': len(self.starts),
+            'runs_ended': dict(Counter(h for _, h in self.ends.values())),
+        } | self.twice()
 
 
 def use(samples, spans):
@@ -157,17 +173,22 @@
     for p in sorted(Path(folder).glob('*.stats')):
         rows = [json.loads(ln) for ln in p.read_text().splitlines()]
         keep = ('beats', 'starts', 'ends', 'syncs', 'sync_ms', 'placed', 'lapsed', 'gaps')
-        out[p.stem] = {'sent_mb': round(rows[-1]['sent'] / 1e6, 2), 'longest_turn_ms': max(r['turn_max'] for r in rows),
-                       'seconds': round((rows[-1]['at'] - rows[0]['at']) / 1000, 1),
-                       'counts': {k: v for k, v in rows[-1]['counts'].items() if k in keep}}
+        out[p.stem] = {
+            'sent_mb': round(rows[-1]['sent'] / 1e6, 2),
+            'longest_turn_ms': max(r['turn_max'] for r in rows),
+            'seconds': round((rows[-1]['at'] - rows[0]['at']) / 1000, 1),
+            'counts': {k: v for k, v in rows[-1]['counts'].items() if k in keep},
+        }
     return out
 
 
 def plots(rep, folder):
     """Pictures beside the report; needs the extra `scale`. Raises ImportError without it."""
     import matplotlib
+
     matplotlib.use('Agg')
     from matplotlib import pyplot as plt
+
     fig, (a, c) = plt.subplots(2, 1, figsize=(9, 7), sharex=True)
     sec = rep['per_second']
     a.step([s[0] for s in sec], [s[1] for s in sec], label='asked for', color='0.6')
@@ -183,7 +204,7 @@
     c.set_xlabel('seconds of the run')
     c.legend(loc='upper left', fontsize=7)
     fig.tight_layout()
-    fig.savefig(Path(folder) / f"{rep['name']}.png", dpi=90)
+    fig.savefig(Path(folder) / f'{rep["name"]}.png', dpi=90)
     plt.close(fig)
     fig, a = plt.subplots(figsize=(6, 4))
     lv = rep['levels']
@@ -197,5 +218,5 @@
     b.set_ylabel('urgent start, 99 of 100, ms (dashed)')
     b.set_yscale('log')
     fig.tight_layout()
-    fig.savefig(Path(folder) / f"{rep['name']}-levels.png", dpi=90)
+    fig.savefig(Path(folder) / f'{rep["name"]}-levels.png', dpi=90)
     plt.close(fig)
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -19,7 +19,7 @@
 from cyclopts import App
 
 sys.path.insert(0, str(Path(__file__).parent))
-from rig import GONE, GROUP, ROOT, WALL, Rig  # noqa: E402
+from rig import GROUP, ROOT, WALL, Rig  # noqa: E402
 
 from asterwharf.orchard.model import Job, Step, Task  # noqa: E402
 from asterwharf.orchard.tender import REGISTERED, Link, Tender  # noqa: E402
@@ -103,13 +103,23 @@
     rig.waits.clear()
     got = rig.window(seconds * 1000)
     waits = sorted(rig.waits) or [0]
-    out = {'minions': num, 'runs standing': run, 'wanted starts a second': rate, 'worst turn, ms': max(x.worst for x in rig.core) / 1e6,
-           'start delay median, ms': waits[len(waits) // 2], 'start delay p99, ms': waits[int(len(waits) * 0.99)]}
+    out = {
+        'minions': num,
+        'runs standing': run,
+        'wanted starts a second': rate,
+        'worst turn, ms': max(x.worst for x in rig.core) / 1e6,
+        'start delay median, ms': waits[len(waits) // 2],
+        'start delay p99, ms': waits[int(len(waits) * 0.99)],
+    }
     out |= {f'{k}, a second': v / seconds for k, v in sorted(got.items()) if v}
     hld = rig.holder
     tdr, mac = hld.node.find(Tender), chairs(hld.node)['commons'].mac
-    out |= {'memory of links, bytes': deep(tdr.links.values()), 'memory of jobs, bytes': deep(mac.jobs.values()),
-            'jobs kept': len(mac.jobs), 'registered again after, ms': again(rig, num)}
+    out |= {
+        'memory of links, bytes': deep(tdr.links.values()),
+        'memory of jobs, bytes': deep(mac.jobs.values()),
+        'jobs kept': len(mac.jobs),
+        'registered again after, ms': again(rig, num),
+    }
     for k, v in out.items():
         said(f'{k:32}{v:14.1f}')
     return out
@@ -161,6 +171,7 @@
         rows = sum(len(k) + len(v) for k, v in y.delta().items())
         tracemalloc.stop()
         return got / num, rows / num
+
     one, many, runs = yard(1, False), yard(21, False), yard(21, True)
     out['task'] = {'memory': (many[0] - one[0]) / 20, 'rows': (many[1] - one[1]) / 20}
     out['job'] = {'memory': one[0] - out['task']['memory'], 'rows': one[1] - out['task']['rows']}
@@ -168,7 +179,9 @@
     tracemalloc.start()
     ls = [Link(f'm-{i:04d}', 0) for i in range(num)]
     for l in ls:
-        l.doc = json.loads('{"group":"work","address":"10.9.0.1:80","zone":"z1","version":"v1","labels":["a","r1"],"running":[],"finished":[]}')
+        l.doc = json.loads(
+            '{"group":"work","address":"10.9.0.1:80","zone":"z1","version":"v1","labels":["a","r1"],"running":[],"finished":[]}'
+        )
     out['minion'] = {'memory': tracemalloc.get_traced_memory()[0] / num, 'rows': 0}
     tracemalloc.stop()
     return out
@@ -176,8 +189,10 @@
 
 def commit():
     """The commit of the sources, with a plus where they were changed since."""
+
     def git(*args):
         return subprocess.run(['git', *args], cwd=ROOT, capture_output=True, text=True).stdout.strip()
+
     return git('rev-parse', '--short', 'HEAD') + ('+' if git('status', '--porcelain', 'asterwharf', 'platform') else '')
 
 
@@ -189,7 +204,12 @@
         gc.collect()
         gc.freeze()
         said(f'{"":22}' + ''.join(f'{c:>12}' for c in COLS) + '    units')
-        out = {'commit': commit(), 'python': sys.version.split()[0], 'scale': scale, 'slopes': Slopes(rig, scale, said).all()}
+        out = {
+            'commit': commit(),
+            'python': sys.version.split()[0],
+            'scale': scale,
+            'slopes': Slopes(rig, scale, said).all(),
+        }
         out['state'] = memory(scale)
         for k, v in out['state'].items():
             said(f'{k:22}{v["memory"]:12.0f} bytes of memory, {v["rows"]:8.0f} of rows')
--- a/tests/breaks.py
+++ b/tests/breaks.py
@@ -14,6 +14,7 @@
     def deco(fn):
         BREAKS[fn.__name__] = (rule, scen, seed, fn)
         return fn
+
     return deco
 
 
@@ -30,8 +31,9 @@
 
     def now(self):
         for t in list(self.mac.by['recovering'].values()):
-            self.timers[t.key, t.round] = self.b.now - 10 ** 9
+            self.timers[t.key, t.round] = self.b.now - 10**9
         old(self)
+
     mp.setattr(steward.Steward, '_recover', now)
 
 
@@ -48,6 +50,7 @@
                 self.by['ready'][t.key] = t
                 self.turned.append(t.key)
         return old(self, d)
+
     mp.setattr(cell.Cell, 't_register', reg)
 
 
@@ -69,6 +72,7 @@
             self.outcome(t, False, why, at)
         else:
             old(self, t, why, at)
+
     mp.setattr(cell.Cell, 'lost', lost)
 
 
@@ -80,6 +84,7 @@
     def state(self):
         sts = [t.state for t in self.tasks.values()]
         return 'done' if 'done' in sts else old(self)
+
     mp.setattr(model.Job, 'state', property(state))
 
 
@@ -93,6 +98,7 @@
         for t in j.tasks.values():
             t.state = 'ready'
         return j
+
     mp.setattr(cell, 'build', build)
 
 
@@ -112,6 +118,7 @@
 def refuses_when_unsure(mp):
     """An errand whose fate is unknown is answered as not taken."""
     from asterwharf.scheduler import ferry
+
     old = ferry.Ferry._end
     mp.setattr(ferry.Ferry, '_end', lambda s, t, c, b: old(s, t, 'tenant_full' if c == 'unsure' else c, b))
 
@@ -120,15 +127,19 @@
 def room_ignored(mp):
     """Placement and agent take no account of room."""
     mp.setattr(placer.Room, 'fits', lambda s, t: True)
-    mp.setattr(cell.Cell, '_whole', lambda s, its, at: all(t and m and t.state == 'ready' and m.open for t, m, r in its))
+    mp.setattr(
+        cell.Cell, '_whole', lambda s, its, at: all(t and m and t.state == 'ready' and m.open for t, m, r in its)
+    )
     mp.setattr(keeper.Keeper, '_no', lambda s, d, h: '')
 
 
 @breaks('more work than room', 'flood', 1)
 def stopping_is_free(mp):
     """Work that is still stopping takes no room."""
+
     def free(self):
         return self.cores, self.gpus, self.mem
+
     mp.setattr(model.Minion, 'free', property(free))
     mp.setattr(keeper.Keeper, '_no', lambda s, d, h: 'another' if h else '')
 
@@ -151,21 +162,25 @@
     """Neither placement nor the cell minds an emptied zone."""
     mp.setattr(cell.Cell, 't_config', lambda s, d: setattr(s, 'sequence', d['sequence']))
     from asterwharf.scheduler import config
+
     old = config.Config.__init__
 
     def init(self, *a):
         old(self, *a)
         self.emptied = frozenset()
+
     mp.setattr(config.Config, '__init__', init)
 
 
 @breaks('two rival changes both acknowledged', 'config_race', 1)
 def base_ignored(mp):
     """A configuration replaces whatever there is."""
+
     def put(self, op, d):
         self.conf = dict(d, sequence=self.sequence + 1)
         self.dirty.add('conf')
         return {'ok': True, 'sequence': self.sequence}
+
     mp.setattr(core.Core, 'c_config', put)
 
 
@@ -188,6 +203,7 @@
         got = config.check(config.swell(doc), seq if b.rng.random() > 0.3 else max(1, seq - 3))
         if got.is_ok():
             b.config, b.emptied = got.ok, got.ok.emptied
+
     mp.setattr(news, 'adopt', adopt)
 
 
@@ -195,22 +211,31 @@
 def gangs_torn(mp):
     """Members of a gang are placed one by one."""
     from asterwharf.scheduler import buffers
+
     old = buffers.Buffers.bundle
 
     def torn(self, nam):
         grp = old(self, nam)
-        ready = [t for t in self.mac.jobs[nam.partition('#')[0]].gang(nam.partition('#')[2]) if t.state == 'ready'] \
-            if '#' in nam and nam.partition('#')[0] in self.mac.jobs else []
+        ready = (
+            [t for t in self.mac.jobs[nam.partition('#')[0]].gang(nam.partition('#')[2]) if t.state == 'ready']
+            if '#' in nam and nam.partition('#')[0] in self.mac.jobs
+            else []
+        )
         return grp[:1] if grp and '#' not in nam else ready[:1] or None
+
     mp.setattr(buffers.Buffers, 'bundle', torn)
     was = placer.Placer._send
 
     def send(self, bundles, at):
         was(self, bundles, at)
         self.mac.turned += [t.key for t in list(self.mac.by['ready'].values())]
+
     mp.setattr(placer.Placer, '_send', send)
-    mp.setattr(cell.Cell, '_whole', lambda s, its, at: all(t and m and t.state == 'ready' and m.open and m.fits(t.need)
-                                                           for t, m, r in its))
+    mp.setattr(
+        cell.Cell,
+        '_whole',
+        lambda s, its, at: all(t and m and t.state == 'ready' and m.open and m.fits(t.need) for t, m, r in its),
+    )
 
 
 @breaks('the cut-off cell did no work', 'cell_cut_off', 1)
@@ -221,6 +246,7 @@
     def tick(self):
         if self.b.role == 'trellis' or any(h['role'] == 'trellis' and p != 't0' for p, h in self.b.links.items()):
             old(self)
+
     mp.setattr(placer.Placer, 'tick', tick)
 
 
@@ -228,6 +254,7 @@
 def parcel_lost(mp):
     """A tenant is handed over without its jobs."""
     from asterwharf.scheduler import handover
+
     old = handover.Handover.t_import
     mp.setattr(handover.Handover, 't_import', lambda s, d: old(s, dict(d, rows=[])))
 
@@ -235,7 +262,7 @@
 @breaks('starved until the flood was over', 'starved', 1)
 def no_room_held(mp):
     """No room is held for what has waited long."""
-    mp.setattr(placer, 'STARVE', 10 ** 6)
+    mp.setattr(placer, 'STARVE', 10**6)
 
 
 @breaks('urgent work was stuck behind sweeps', 'pushed_out', 1)
@@ -248,6 +275,7 @@
 def news_late(mp):
     """Askers are answered when their time is up, not when there is news."""
     from asterwharf.scheduler import news
+
     mp.setattr(news.Crier, '_look', lambda s, src: None)
     mp.setattr(news.Crier, 'on_ask', lambda s, src, d: s.askers.update({src: (d['id'], 0, s.b.now + d['wait'], 0, 0)}))
 
@@ -268,6 +296,7 @@
 def only_the_holder_brings_news(mp):
     """Seats that do not hold the core answer nobody, and ask nobody."""
     from asterwharf.scheduler import news
+
     mp.setattr(news.Crier, '_hears', property(lambda s: s.chair.holds))
     mp.setattr(news.Asker, '_need', lambda s: s.own is None)
 
@@ -285,20 +314,23 @@
     old = cell.Cell.t_submit
 
     def submit(self, d):
-        key = f"{d['tenant']}/{d['id']}"
+        key = f'{d["tenant"]}/{d["id"]}'
         if key in self.jobs and self.jobs[key].over:
             self._drop(self.jobs[key])
         return old(self, d)
+
     mp.setattr(cell.Cell, 't_submit', submit)
     from asterwharf.scheduler import clerk
+
     mp.setattr(clerk.Clerk, '_refusal', lambda s, a, dig, c: None)
     was = clerk.Clerk.do_submit
 
     def do(self, a, give, c):
-        got = c.mac.jobs.pop(f"{a['tenant']}/{a['id']}", None)
+        got = c.mac.jobs.pop(f'{a["tenant"]}/{a["id"]}', None)
         was(self, a, give, c)
         if got is not None:
             c.mac.jobs[got.key] = got
+
     mp.setattr(clerk.Clerk, 'do_submit', do)
 
 
@@ -319,6 +351,7 @@
             if h.state == keeper.HELD and self.b.now - h.at > 7000:
                 h.keep = True
                 self._resume(h)
+
     mp.setattr(keeper.Keeper, 'tick', tick)
 
 
@@ -326,6 +359,7 @@
 def deadline_ignored(mp):
     """Nothing is pushed out at the deadline."""
     from asterwharf.scheduler import emptier
+
     mp.setattr(emptier.Emptier, 'tick', lambda s: None)
 
 
@@ -333,10 +367,12 @@
 def acknowledged_before_it_is_kept(mp):
     """A holder acknowledges a configuration that it has not ordered."""
     from asterwharf.scheduler import clerk
+
     old = clerk.Clerk._put
 
     def put(self, a, give):
         if self.b.rng.random() < 0.3:
             return give('ok', {'sequence': a['base'] + 1})
         old(self, a, give)
+
     mp.setattr(clerk.Clerk, '_put', put)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -25,20 +25,44 @@
         return self.m.apply(self.n, pack(knd, doc, seq))
 
     def register(self, n, inflight=(), inc='i'):
-        return self.do('t_register', minion=n, inc=inc, edge='e0', zone='z1', cores=8.0, gpus=0, mem=0, labels={}, drain=False,
-                       inflight=[{'task': t, 'round': r} for t, r in inflight], at=1)
+        return self.do(
+            't_register',
+            minion=n,
+            inc=inc,
+            edge='e0',
+            zone='z1',
+            cores=8.0,
+            gpus=0,
+            mem=0,
+            labels={},
+            drain=False,
+            inflight=[{'task': t, 'round': r} for t, r in inflight],
+            at=1,
+        )
 
     def place(self, n='m0', names='a', rnd=1):
-        return self.do('t_place', at=2, sequence=0, apart=True, bundles=[{'items': [
-            {'task': f'ten/j/{k}', 'round': rnd, 'minion': n} for k in names]}])
+        return self.do(
+            't_place',
+            at=2,
+            sequence=0,
+            apart=True,
+            bundles=[{'items': [{'task': f'ten/j/{k}', 'round': rnd, 'minion': n} for k in names]}],
+        )
 
     def lose(self, n='m0', names='a', rnd=1):
         self.do('t_down', minion=n, link=self.m.minions[n].link, why='cut', purpose=False, at=3)
         self.do('t_expire', at=4, items=[{'task': f'ten/j/{k}', 'round': rnd} for k in names])
 
     def tell(self, what, n='m0', nam='a', rnd=1, seq=0):
-        self.do('t_status', seq, minion=n, link=self.m.minions[n].link, at=5, unheard=True,
-                items=[{'n': 1, 'task': f'ten/j/{nam}', 'round': rnd, 'what': what, 'why': '', 'at': 5}])
+        self.do(
+            't_status',
+            seq,
+            minion=n,
+            link=self.m.minions[n].link,
+            at=5,
+            unheard=True,
+            items=[{'n': 1, 'task': f'ten/j/{nam}', 'round': rnd, 'what': what, 'why': '', 'at': 5}],
+        )
 
     def t(self, nam='a'):
         return self.m.tasks[f'ten/j/{nam}']
@@ -181,5 +205,7 @@
     def done(r):
         self.busy = False
         self.mac.turned += list(self.mac.by['ready'])
-    self.busy = self.cell.order('t_place', {'at': at, 'sequence': self.b.config.sequence, 'bundles': bundles, 'apart': False},
-                                done)
+
+    self.busy = self.cell.order(
+        't_place', {'at': at, 'sequence': self.b.config.sequence, 'bundles': bundles, 'apart': False}, done
+    )
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -35,8 +35,16 @@
 
 
 def job(i):
-    return pack('t_submit', {'tenant': 't', 'id': f'j{i}', 'sum': str(i), 'at': 1,
-                             'spec': {'class': 'default', 'tasks': [{'name': 'x', 'gang': 'é'}]}})
+    return pack(
+        't_submit',
+        {
+            'tenant': 't',
+            'id': f'j{i}',
+            'sum': str(i),
+            'at': 1,
+            'spec': {'class': 'default', 'tasks': [{'name': 'x', 'gang': 'é'}]},
+        },
+    )
 
 
 def test_rows_and_log_bring_back_every_delivered_change(tmp_path):
@@ -80,7 +88,7 @@
     assert s.desk.safe == 0 and s.desk.done == 0
 
 
-CHILD = '''
+CHILD = """
 import resource, signal, sys
 sys.path.insert(0, sys.argv[3])
 from test_disk import alone, job, turn
@@ -103,19 +111,21 @@
         sys.exit(5)
     # what is printed is acknowledged: it was synced before
     print(i, flush=True)
-'''
+"""
 
 
 def child(path, limit):
     here = os.path.dirname(__file__)
-    return subprocess.Popen([sys.executable, '-c', CHILD, str(path), str(limit), here], stdout=subprocess.PIPE, text=True)
+    return subprocess.Popen(
+        [sys.executable, '-c', CHILD, str(path), str(limit), here], stdout=subprocess.PIPE, text=True
+    )
 
 
 def reopened(path):
     """What a seat finds after a restart, with nothing in it that was not whole."""
     sto = Store(str(path))
-    s = alone(sto, 10 ** 6)
-    for now in range(10 ** 6, 10 ** 6 + 5000, 100):
+    s = alone(sto, 10**6)
+    for now in range(10**6, 10**6 + 5000, 100):
         turn(s, sto, now)
     n = len(s.mac.jobs)
     assert sorted(s.mac.jobs) == sorted(f't/j{i}' for i in range(n))
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -71,8 +71,12 @@
 def test_pipelined_requests_are_answered_in_order_on_one_connection(live):
     w = Wire(live.http['e0'])
     body = json.dumps(JOB).encode()
-    w.send(b''.join(req('PUT', f'/v1/tenants/basin/jobs/p{i}', body) + req('GET', f'/v1/tenants/basin/jobs/p{i}')
-                    for i in range(10)))
+    w.send(
+        b''.join(
+            req('PUT', f'/v1/tenants/basin/jobs/p{i}', body) + req('GET', f'/v1/tenants/basin/jobs/p{i}')
+            for i in range(10)
+        )
+    )
     for i in range(10):
         put, got = w.answer(), w.answer()
         assert put[0] == 201 and put[1]['id'] == got[1]['id'] == f'p{i}' and got[0] == 200
@@ -84,30 +88,43 @@
         w.send(bytes([c]))
     assert w.answer()[1] == {'ready': True, 'details': []}
     raw = json.dumps(JOB).encode()
-    chunks = b''.join(b'%x\r\n%s\r\n' % (len(raw[i:i + 7]), raw[i:i + 7]) for i in range(0, len(raw), 7)) + b'0\r\n\r\n'
+    chunks = (
+        b''.join(b'%x\r\n%s\r\n' % (len(raw[i : i + 7]), raw[i : i + 7]) for i in range(0, len(raw), 7)) + b'0\r\n\r\n'
+    )
     head = b'PUT /v1/tenants/basin/jobs/chunked HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n'
     w.send(head + chunks + req('GET', '/v1/tenants/basin/jobs/chunked'))
     assert w.answer()[0] == 201 and w.answer()[1]['id'] == 'chunked'
 
 
-@pytest.mark.parametrize('raw, status, code', [
-    (b'nonsense\r\n\r\n', 400, 210), (b'GET / HTTP/1.1\r\n\r\n', 400, 210),
-    (b'GET / HTTP/1.1\r\nHost: x\r\nContent-Length: -4\r\n\r\n', 400, 210),
-    (b'GET / HTTP/1.1\r\nHost: x:port\r\n\r\n', 400, 210), (b'GET /' + b'a' * 70000, 400, 210),
-    (b'PUT /v1/config HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999999\r\n\r\n', 413, 202),
-    (b'PUT /v1/config HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n', 400, 210),
-    (req('PUT', '/v1/tenants/basin/jobs/b', b'{"tasks": [}'), 400, 200),
-    (req('PUT', '/v1/tenants/basin/jobs/b', b'\xff\xfe'), 400, 200), (req('PUT', '/v1/tenants/basin/jobs/b', b'[1]'), 400, 200),
-    (req('PUT', '/v1/tenants/basin/jobs/b', b'{"tasks": NaN}'), 400, 200),
-    (req('PUT', '/v1/tenants/basin/jobs/b', b'[' * 200000), 400, 200),
-    (req('PUT', '/v1/tenants/basin/jobs/b', b'{}'), 400, 201), (req('PUT', '/v1/tenants/no/jobs/b', json.dumps(JOB).encode()), 404, 304),
-    (req('PUT', '/v1/tenants/ba%20sin/jobs/b', json.dumps(JOB).encode()), 400, 201),
-    (req('GET', '/v1/tenants/basin/jobs/never'), 404, 300), (req('DELETE', '/v1/tenants/basin/jobs/never'), 404, 300),
-    (req('GET', '/nowhere'), 404, 203), (req('POST', '/v1/config'), 405, 204), (req('GET', '/v1/jobs?most=x'), 400, 201),
-    (req('PUT', '/v1/config', b'{}'), 428, 209), (req('PUT', '/v1/config', b'{}', 'If-Match: abc'), 400, 201),
-    (req('PUT', '/v1/config', json.dumps(DOC).encode(), 'If-Match: "0"'), 412, 303),
-    (req('PUT', '/v1/minions/nobody/drain'), 404, 305),
-])
+@pytest.mark.parametrize(
+    'raw, status, code',
+    [
+        (b'nonsense\r\n\r\n', 400, 210),
+        (b'GET / HTTP/1.1\r\n\r\n', 400, 210),
+        (b'GET / HTTP/1.1\r\nHost: x\r\nContent-Length: -4\r\n\r\n', 400, 210),
+        (b'GET / HTTP/1.1\r\nHost: x:port\r\n\r\n', 400, 210),
+        (b'GET /' + b'a' * 70000, 400, 210),
+        (b'PUT /v1/config HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999999\r\n\r\n', 413, 202),
+        (b'PUT /v1/config HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n', 400, 210),
+        (req('PUT', '/v1/tenants/basin/jobs/b', b'{"tasks": [}'), 400, 200),
+        (req('PUT', '/v1/tenants/basin/jobs/b', b'\xff\xfe'), 400, 200),
+        (req('PUT', '/v1/tenants/basin/jobs/b', b'[1]'), 400, 200),
+        (req('PUT', '/v1/tenants/basin/jobs/b', b'{"tasks": NaN}'), 400, 200),
+        (req('PUT', '/v1/tenants/basin/jobs/b', b'[' * 200000), 400, 200),
+        (req('PUT', '/v1/tenants/basin/jobs/b', b'{}'), 400, 201),
+        (req('PUT', '/v1/tenants/no/jobs/b', json.dumps(JOB).encode()), 404, 304),
+        (req('PUT', '/v1/tenants/ba%20sin/jobs/b', json.dumps(JOB).encode()), 400, 201),
+        (req('GET', '/v1/tenants/basin/jobs/never'), 404, 300),
+        (req('DELETE', '/v1/tenants/basin/jobs/never'), 404, 300),
+        (req('GET', '/nowhere'), 404, 203),
+        (req('POST', '/v1/config'), 405, 204),
+        (req('GET', '/v1/jobs?most=x'), 400, 201),
+        (req('PUT', '/v1/config', b'{}'), 428, 209),
+        (req('PUT', '/v1/config', b'{}', 'If-Match: abc'), 400, 201),
+        (req('PUT', '/v1/config', json.dumps(DOC).encode(), 'If-Match: "0"'), 412, 303),
+        (req('PUT', '/v1/minions/nobody/drain'), 404, 305),
+    ],
+)
 def test_bad_input_gets_its_number_and_its_remedy(live, raw, status, code):
     w = Wire(live.http['e0'])
     w.send(raw)
@@ -145,8 +162,12 @@
 
 def test_an_address_in_use_is_said_with_its_number(live):
     p = live.settings('e1', bind=live.bind['t0'])
-    got = subprocess.run([sys.executable, '-c', 'from asterwharf.furrow.main import main; main()', 'serve', p],
-                         capture_output=True, text=True, timeout=60)
+    got = subprocess.run(
+        [sys.executable, '-c', 'from asterwharf.furrow.main import main; main()', 'serve', p],
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
     live.settings('e1')
     assert got.returncode == 5 and '"code": 504' in got.stderr and 'Traceback' not in got.stderr
 
@@ -154,8 +175,12 @@
 def test_a_corrupt_data_folder_is_refused_with_its_number(live, tmp_path):
     (tmp_path / 'data.mdb').write_bytes(os.urandom(8192))
     p = live.settings('t2', data=str(tmp_path), bind='127.0.0.1:1', http='')
-    got = subprocess.run([sys.executable, '-c', 'from asterwharf.trellis.main import main; main()', p], capture_output=True,
-                         text=True, timeout=60)
+    got = subprocess.run(
+        [sys.executable, '-c', 'from asterwharf.trellis.main import main; main()', p],
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
     assert got.returncode == 5 and '"code": 501' in got.stderr and 'Traceback' not in got.stderr
 
 
@@ -163,8 +188,12 @@
     p = live.path('bad.toml')
     with open(p, 'w') as f:
         f.write('name = "x"\nbind = 3\ncolour = "red"\n')
-    got = subprocess.run([sys.executable, '-c', 'from asterwharf.furrow.main import main; main()', 'serve', p],
-                         capture_output=True, text=True, timeout=60)
+    got = subprocess.run(
+        [sys.executable, '-c', 'from asterwharf.furrow.main import main; main()', 'serve', p],
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
     assert got.returncode == 2 and all(k in got.stderr for k in ('213 bad_settings', 'bind:', 'colour:', 'seeds:'))
     good = live.settings('e0')
     with open(good, 'a') as f:
@@ -211,6 +240,7 @@
         assert p.returncode == 0
         live.start(n)
         calls.later(2500, nxt)
+
     calls.later(500, nxt)
     calls.run()
     assert not todo and calls.finished
@@ -238,6 +268,7 @@
         n = holder()
         live.freeze(n)
         calls.later(4000, live.thaw, n)
+
     calls.later(1000, kill, False)
     calls.later(7000, freeze)
     calls.later(14000, kill, True)
@@ -246,7 +277,6 @@
     assert calls.finished and not obs.broken, obs.broken
 
 
-
 def test_a_real_minion_holds_what_nobody_answers_for_and_lets_it_go_on(live):
     assert live.until(lambda: live.minions_up() == 3)
     spec = {'class': 'surge', 'tasks': [{'name': 'a', 'cores': 1, 'tries': 1, 'run': {'ms': 25000}}]}
@@ -259,6 +289,7 @@
     def said(what):
         with open(live.path(f'{n}.journal'), encoding='utf-8') as f:
             return sum(json.loads(r)['what'] == what and json.loads(r)['task'] == 'basin/held/a' for r in f)
+
     assert live.until(mine)
     n = mine()
     live.cut([n], live.core + live.edges)
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -11,8 +11,17 @@
 
 ROOT = Path(__file__).parent.parent
 # a layer may import itself and what stands after it
-LAYERS = [('trellis', 'furrow', 'sickle'), ('fleet',), ('door', 'sim'), ('scheduler',), ('link',), ('ring', 'mend'),
-          ('view',), ('wire', 'disk', 'clock'), ('base',)]
+LAYERS = [
+    ('trellis', 'furrow', 'sickle'),
+    ('fleet',),
+    ('door', 'sim'),
+    ('scheduler',),
+    ('link',),
+    ('ring', 'mend'),
+    ('view',),
+    ('wire', 'disk', 'clock'),
+    ('base',),
+]
 PURE = ('scheduler', 'link', 'view', 'ring', 'mend')
 
 
--- a/tests/test_lean.py
+++ b/tests/test_lean.py
@@ -76,7 +76,7 @@
         raw = memoryview(raw)
         while raw:
             try:
-                raw = raw[self.s.send(raw):]
+                raw = raw[self.s.send(raw) :]
             except BlockingIOError:
                 pass
             self.loop.turn()
@@ -189,22 +189,33 @@
     assert c.answer()[2]['connection'] == 'close' and c.ended()
 
 
-@pytest.mark.parametrize('raw, status', [
-    (b'nonsense\r\n\r\n', 400), (b'GET / HTTP/1.1\r\n\r\n', 400), (b'GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n', 400),
-    (b'GET / HTTP/1.1\r\nHost: x:port\r\n\r\n', 400), (b'GET / HTTP/1.1\r\nHost: x\r\nBad Name: 1\r\n\r\n', 400),
-    (b'GET / HTTP/1.1\r\nHost: x\r\nno colon\r\n\r\n', 400), (b'GET /\\x0d\\x0aX: 1 HTTP/1.1 \r\nHost: x\r\n\r\n', 400),
-    (b'GET /' + b'a' * 3000, 400), (b'GET / HTTP/1.1\r\nHost: x\r\nX: ' + b'a' * 3000 + b'\r\n\r\n', 400),
-    (b'GET /#part HTTP/1.1\r\nHost: x\r\n\r\n', 400), (b'GET / HTTP/9\r\nHost: x\r\n\r\n', 400),
-    (req('POST', '/', b'', 'Content-Length: -4'), 400), (req('POST', '/', b'', 'Content-Length: \xb2'), 400),
-    (req('POST', '/', b'', 'Content-Length: 1', 'Content-Length: 1'), 400), (req('POST', '/', b'', 'Content-Length: 4001'), 413),
-    (req('POST', '/', b'', 'Content-Length: 3', 'Transfer-Encoding: chunked'), 400),
-    (req('POST', '/', b'', 'Transfer-Encoding: gzip, chunked'), 400),
-    (req('POST', '/', b'', 'Transfer-Encoding: chunked') + b'zz\r\n', 400),
-    (req('POST', '/', b'', 'Transfer-Encoding: chunked') + b'-1\r\n\r\n', 400),
-    (req('POST', '/', b'', 'Transfer-Encoding: chunked') + b'2\r\nabcd\r\n', 400),
-    (req('POST', '/', b'', 'Transfer-Encoding: chunked') + (b'7d0\r\n' + b'a' * 2000 + b'\r\n') * 3, 413),
-    (bytes(range(256)) + b'\r\n\r\n', 400),
-])
+@pytest.mark.parametrize(
+    'raw, status',
+    [
+        (b'nonsense\r\n\r\n', 400),
+        (b'GET / HTTP/1.1\r\n\r\n', 400),
+        (b'GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n', 400),
+        (b'GET / HTTP/1.1\r\nHost: x:port\r\n\r\n', 400),
+        (b'GET / HTTP/1.1\r\nHost: x\r\nBad Name: 1\r\n\r\n', 400),
+        (b'GET / HTTP/1.1\r\nHost: x\r\nno colon\r\n\r\n', 400),
+        (b'GET /\\x0d\\x0aX: 1 HTTP/1.1 \r\nHost: x\r\n\r\n', 400),
+        (b'GET /' + b'a' * 3000, 400),
+        (b'GET / HTTP/1.1\r\nHost: x\r\nX: ' + b'a' * 3000 + b'\r\n\r\n', 400),
+        (b'GET /#part HTTP/1.1\r\nHost: x\r\n\r\n', 400),
+        (b'GET / HTTP/9\r\nHost: x\r\n\r\n', 400),
+        (req('POST', '/', b'', 'Content-Length: -4'), 400),
+        (req('POST', '/', b'', 'Content-Length: \xb2'), 400),
+        (req('POST', '/', b'', 'Content-Length: 1', 'Content-Length: 1'), 400),
+        (req('POST', '/', b'', 'Content-Length: 4001'), 413),
+        (req('POST', '/', b'', 'Content-Length: 3', 'Transfer-Encoding: chunked'), 400),
+        (req('POST', '/', b'', 'Transfer-Encoding: gzip, chunked'), 400),
+        (req('POST', '/', b'', 'Transfer-Encoding: chunked') + b'zz\r\n', 400),
+        (req('POST', '/', b'', 'Transfer-Encoding: chunked') + b'-1\r\n\r\n', 400),
+        (req('POST', '/', b'', 'Transfer-Encoding: chunked') + b'2\r\nabcd\r\n', 400),
+        (req('POST', '/', b'', 'Transfer-Encoding: chunked') + (b'7d0\r\n' + b'a' * 2000 + b'\r\n') * 3, 413),
+        (bytes(range(256)) + b'\r\n\r\n', 400),
+    ],
+)
 def test_what_cant_be_read_gets_its_number_and_ends_only_its_own_connection(site, raw, status):
     loop, app, door, call = site
     good, c = call(), call()
@@ -282,7 +293,7 @@
     door.sweep()
     assert idle.ended()
     # one that waits for its answer is neither
-    now[0] += 10 ** 6
+    now[0] += 10**6
     door.sweep()
     app.open.pop()(200, b'late', {})
     assert busy.answer()[1] == b'late'
@@ -343,6 +354,7 @@
 
         def __getattr__(self, k):
             return getattr(self.s, k)
+
     real = door.server._sock
     loop.poll.discard(real)
     ful = door.server._sock = Full(real)
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -33,7 +33,7 @@
     for att, low in ((0, 1000), (1, 1500), (4, 5062.5), (10, 57665)):
         got = [delay(att, l, r) for _ in range(500)]
         assert min(got) >= low and max(got) <= min(low * 1.5, 60000) + 1 and (att > 9 or len(set(got)) > 100)
-    assert delay(11, l, r) == delay(10 ** 6, l, r) == 60000
+    assert delay(11, l, r) == delay(10**6, l, r) == 60000
 
 
 def test_a_ring_drops_the_oldest_and_says_so():
@@ -73,8 +73,27 @@
 
 
 def test_status_messages_bypass_the_rings_and_outlive_them():
-    f = ready(link=Link(**{**{k: getattr(LINK, k) for k in ('beat_ms', 'unhealthy_ms', 'close_ms', 'grace_ms', 'base_ms',
-                                                            'max_ms', 'auth_ms', 'register_ms')}, 'events': 2, 'logs': 2}))
+    f = ready(
+        link=Link(
+            **{
+                **{
+                    k: getattr(LINK, k)
+                    for k in (
+                        'beat_ms',
+                        'unhealthy_ms',
+                        'close_ms',
+                        'grace_ms',
+                        'base_ms',
+                        'max_ms',
+                        'auth_ms',
+                        'register_ms',
+                    )
+                },
+                'events': 2,
+                'logs': 2,
+            }
+        )
+    )
     for i in range(6):
         f.call.submit('basin', f'k{i}', {'class': 'surge', 'tasks': [{'name': 'a', 'cores': 10, 'run': {'ms': 1500}}]})
     assert f.w.until(lambda: sum(map(len, f.obs.live.values())) >= 4, 5000)
@@ -100,6 +119,7 @@
 
         def closed():
             return [k for _, _, e, k in f.w.log if e == 'tether closed' and k['minion'] == nam]
+
         f.w.run(f.w.t + wait - 300)
         assert not closed()
         f.w.run(f.w.t + 600)
@@ -113,8 +133,10 @@
     def build(h, *a):
         nod = old(h, *a)
         from dataclasses import replace
+
         nod.b.set = replace(nod.b.set, token='wrong')
         return nod
+
     f.w.hosts['m0'].build = build
     f.start()
     f.w.run(20000)
@@ -124,8 +146,14 @@
 
 def test_drain_told_by_the_minion_closes_the_link_on_purpose_and_only_its_end_reopens_it():
     f = ready()
-    f.call.submit('basin', 'd1', {'class': 'surge', 'tasks': [{'name': 'a', 'cores': 30, 'run': {'ms': 3000}},
-                                                              {'name': 'b', 'cores': 30, 'run': {'ms': 3000}}]})
+    f.call.submit(
+        'basin',
+        'd1',
+        {
+            'class': 'surge',
+            'tasks': [{'name': 'a', 'cores': 30, 'run': {'ms': 3000}}, {'name': 'b', 'cores': 30, 'run': {'ms': 3000}}],
+        },
+    )
     assert f.w.until(lambda: f.obs.count['starts'] == 2, 5000)
     f.mins['m0'].drain(True)
     f.w.run(f.w.t + 500)
@@ -156,10 +184,12 @@
 def test_a_late_outcome_of_an_older_round_is_history_and_never_applied():
     from asterwharf.scheduler.cell import Cell
     from asterwharf.wire.schema import pack
+
     c = Cell()
 
     def do(knd, **d):
         return c.apply(0, pack(knd, d))
+
     for m in ('a', 'b'):
         do('t_register', minion=m, inc=m, edge='e', zone='z', cores=4.0, gpus=0, mem=0, labels={}, at=1)
     do('t_submit', tenant='t', id='j', sum='s', spec={'class': 'default', 'tasks': [{'name': 'x'}]}, at=1)
@@ -167,9 +197,24 @@
     do('t_down', minion='a', link=1, why='cut', at=3)
     do('t_expire', at=4, items=[{'task': 't/j/x', 'round': 1}])
     do('t_place', at=5, bundles=[{'items': [{'task': 't/j/x', 'round': 2, 'minion': 'b'}]}])
-    do('t_status', minion='a', link=1, items=[{'task': 't/j/x', 'round': 1, 'n': 1, 'what': 'failed', 'why': '', 'at': 6}])
-    do('t_status', minion='a', link=1, items=[{'task': 't/j/x', 'round': 1, 'n': 2, 'what': 'done', 'why': '', 'at': 6}])
-    do('t_status', minion='a', link=1, items=[{'task': 't/j/x', 'round': 1, 'n': 1, 'what': 'failed', 'why': '', 'at': 6}])
+    do(
+        't_status',
+        minion='a',
+        link=1,
+        items=[{'task': 't/j/x', 'round': 1, 'n': 1, 'what': 'failed', 'why': '', 'at': 6}],
+    )
+    do(
+        't_status',
+        minion='a',
+        link=1,
+        items=[{'task': 't/j/x', 'round': 1, 'n': 2, 'what': 'done', 'why': '', 'at': 6}],
+    )
+    do(
+        't_status',
+        minion='a',
+        link=1,
+        items=[{'task': 't/j/x', 'round': 1, 'n': 1, 'what': 'failed', 'why': '', 'at': 6}],
+    )
     t = c.tasks['t/j/x']
     # a late failure is a try used up; a late success decides nothing
     assert t.state == 'placed' and t.minion == 'b' and t.used == 1 and any('late' in h for h in t.hist)
@@ -180,12 +225,24 @@
     from asterwharf.base.settings import Settings
     from asterwharf.link.agent import Agent
     from asterwharf.link.keeper import Keeper
+
     b = Board(Settings(name='m', bind='127.0.0.1:1', seeds=['127.0.0.1:2']), 'tend', 'i', random.Random(1), 1000, 1000)
     a = Agent(b)
     k = Keeper(b, a, (4, 0, 0))
     a.state, a.edge, a.link, a.okd = REGISTERED, 'e', 1, 1000
-    k.on_order('e', {'what': 'start', 'task': 't', 'round': 1, 'link': 1, 'stamp': 1000, 'sequence': 0,
-                     'need': {'cores': 1}, 'run': None})
+    k.on_order(
+        'e',
+        {
+            'what': 'start',
+            'task': 't',
+            'round': 1,
+            'link': 1,
+            'stamp': 1000,
+            'sequence': 0,
+            'need': {'cores': 1},
+            'run': None,
+        },
+    )
     k.on_order('e', {'what': 'stop', 'task': 't', 'round': 1, 'link': 1})
     assert [e[1] for e in b.out if e[0] == 'minion'] == ['start']
     k.minion('started', 't', 1, boot='x')
@@ -211,8 +268,10 @@
     if old:
         # as it was: any door but the one that failed last, one a round
         monkeypatch.setattr('asterwharf.link.agent.DOORS', 1)
-        monkeypatch.setattr('asterwharf.link.agent.Agent._targets', lambda s: [
-            r['addr'] for r in s.b.nodes.values() if r['addr'] != s.addr] or list(s.b.set.seeds))
+        monkeypatch.setattr(
+            'asterwharf.link.agent.Agent._targets',
+            lambda s: [r['addr'] for r in s.b.nodes.values() if r['addr'] != s.addr] or list(s.b.set.seeds),
+        )
     worst = 0
     for seed in range(1, 9):
         f = Fleet(seed, edges=6, minions=1).start()
@@ -224,8 +283,11 @@
                 f.w.freeze(e)
         beg = f.w.t
         assert f.w.until(lambda: agent(f).edge == free and agent(f).state == REGISTERED, 60000)
-        dials = [kws['why'] for t, who, evt, kws in f.w.log
-                 if t > beg and who == 'm0' and evt == 'link' and kws['now'] == 'connecting']
+        dials = [
+            kws['why']
+            for t, who, evt, kws in f.w.log
+            if t > beg and who == 'm0' and evt == 'link' and kws['now'] == 'connecting'
+        ]
         seeds = set(f.seeds)
         worst = max(worst, max(dials.count(a) for a in dials if a not in seeds))
     assert (worst > 1) is old
--- a/tests/test_orchard_moves.py
+++ b/tests/test_orchard_moves.py
@@ -1,7 +1,6 @@
 """What the cell of called-in minions does beside placing: pushes, moves, kept room, holds, beats. Found on the platform."""
 
 import pytest
-
 from yard_cell import QUEUES, A, B, C, Cell
 
 LONG = {'estimate_ms': 60000}
@@ -110,7 +109,7 @@
     for m in c.minions.values():
         m.rates = {t: 4 if t in slow else 25 for t in where(c, A)}
     assert slow
-    c.minion('m3').rates = {t: 25 for t in where(c, A)}
+    c.minion('m3').rates = dict.fromkeys(where(c, A), 25)
     c.go(2500)
     assert count(c, 'moved.crawling') >= 1 and not [t for t, m in where(c, A).items() if m == 'm2']
 
--- a/tests/test_orchard_policy.py
+++ b/tests/test_orchard_policy.py
@@ -32,38 +32,60 @@
 
 
 # --- the document
-@pytest.mark.parametrize('pols, path', [
-    ({'p': {'may_land': 'minion.rack =='}}, 'policies.p.may_land: '), ({'p': {'may_land': 1}}, 'policies.p.may_land: '),
-    ({'p': {'colour': ''}}, 'policies.p.colour: '), ({'p': []}, 'policies.p: '), ([], 'policies: '), ({'': {'score': '1.0'}}, 'policies: '),
-    ({'p': {'score': '1.0 + ' * 500 + '1.0'}}, 'policies.p.score: '), ({f'p{i}': {} for i in range(101)}, 'policies: 101 are more'),
-    ({'p': {'may_evict': 'minion.labels.all(a, minion.labels.all(b, a == b))'}}, 'policies.p.may_evict: ')])
+@pytest.mark.parametrize(
+    'pols, path',
+    [
+        ({'p': {'may_land': 'minion.rack =='}}, 'policies.p.may_land: '),
+        ({'p': {'may_land': 1}}, 'policies.p.may_land: '),
+        ({'p': {'colour': ''}}, 'policies.p.colour: '),
+        ({'p': []}, 'policies.p: '),
+        ([], 'policies: '),
+        ({'': {'score': '1.0'}}, 'policies: '),
+        ({'p': {'score': '1.0 + ' * 500 + '1.0'}}, 'policies.p.score: '),
+        ({f'p{i}': {} for i in range(101)}, 'policies: 101 are more'),
+        ({'p': {'may_evict': 'minion.labels.all(a, minion.labels.all(b, a == b))'}}, 'policies.p.may_evict: '),
+    ],
+)
 def test_a_mistake_in_a_policy_is_named_with_its_path(pols, path):
     res = queues.check(dict(QUEUES, policies=pols))
-    assert res.is_error() and res.error.code == 'bad_config' and any(m.startswith(path) for m in res.error.more), res.error.more
+    assert res.is_error() and res.error.code == 'bad_config' and any(m.startswith(path) for m in res.error.more), (
+        res.error.more
+    )
 
 
 def test_every_mistake_is_listed_and_a_queue_names_a_policy_that_is_there():
     res = queues.check(doc(q='none', quick='p', p={'score': '1.0'}))
     assert res.error.more == ["queues[0].policy: no policy 'none'"]
     res = queues.check(doc(p={'score': '1.0 +', 'may_land': '('}, o={'may_evict': ')'}))
-    assert [m.split(':')[0] for m in res.error.more] == ['policies.p.may_land', 'policies.p.score', 'policies.o.may_evict']
+    assert [m.split(':')[0] for m in res.error.more] == [
+        'policies.p.may_land',
+        'policies.p.score',
+        'policies.o.may_evict',
+    ]
     assert queues.check(doc(q='p', p={'may_land': 'true', 'more': {'why': 'x'}})).ok == 1
 
 
 def test_policies_are_set_and_dropped_by_name_and_read_back_as_sent():
     old = doc(q='p', p={'score': '1.0'}, o={})
-    new = queues.changed(old, {'number': 2, 'set': {'policies': {'n': {'score': '2.0'}}}, 'drop': {'policies': ['o']}}).ok
+    new = queues.changed(
+        old, {'number': 2, 'set': {'policies': {'n': {'score': '2.0'}}}, 'drop': {'policies': ['o']}}
+    ).ok
     assert new['policies'] == {'p': {'score': '1.0'}, 'n': {'score': '2.0'}} and old['policies'].keys() == {'p', 'o'}
     assert 'policies' not in queues.changed(QUEUES, {'number': 2}).ok
     gone = queues.changed(old, {'number': 2, 'drop': {'policies': ['p']}}).ok
     assert queues.check(gone).error.more == ["queues[0].policy: no policy 'p'"]
     qs = compiled(old)
-    assert qs.doc == old and qs.queue('q').policy == 'p' and qs.policies['p'] == {'may_land': '', 'may_evict': '', 'score': '1.0'}
+    assert (
+        qs.doc == old
+        and qs.queue('q').policy == 'p'
+        and qs.policies['p'] == {'may_land': '', 'may_evict': '', 'score': '1.0'}
+    )
 
 
 def test_whether_a_document_has_policies_is_seen_without_reading_it():
     def row(d):
         return queues.row({'number': 1, 'by': '', 'at': 0, 'doc': queues.squeeze(json.dumps(d))})
+
     assert queues.may_judge(row(doc(p={}))) and not queues.may_judge(row(QUEUES)) and not queues.may_judge(b'')
 
 
@@ -158,7 +180,12 @@
 
 @pytest.mark.parametrize('rack, mid', [('r1', 'm1'), ('r2', 'm2')])
 def test_a_policy_says_what_may_be_pushed_out_and_where(rack, mid):
-    assert urgent('p', p={'may_evict': f"victim.queue == 'q' && victim.priority > task.priority && minion.rack == '{rack}'"})[0][B] == mid
+    assert (
+        urgent(
+            'p', p={'may_evict': f"victim.queue == 'q' && victim.priority > task.priority && minion.rack == '{rack}'"}
+        )[0][B]
+        == mid
+    )
     assert B not in urgent('p', p={'may_evict': "victim.queue == 'other'"})[0]
     # nothing is pushed out where the task may not land
     on, c = urgent('p', p={'may_land': f"minion.rack == '{rack}'"})
@@ -189,12 +216,31 @@
 
 
 def test_a_program_sees_what_the_docs_say():
-    t = ("task.queue == 'q' && task.priority == 1 && task.tries == 3 && task.count == 2 && task.cpu == 1000 && task.mem == 10 && task.gpus == 1 "
-         "&& task.label == 'a' && task.near == 'r1' && !task.together && !task.one_rack && task.apart == 5 && task.copies && task.saves && !task.lasts")
-    m = ("minion.group == 'g' && minion.zone == 'z1' && minion.rack == 'r1' && minion.kind == 'a' && 'r1' in minion.labels "
-         "&& minion.cpu == 4000 && minion.mem == 8000 && minion.gpus == 2")
+    t = (
+        "task.queue == 'q' && task.priority == 1 && task.tries == 3 && task.count == 2 && task.cpu == 1000 && task.mem == 10 && task.gpus == 1 "
+        "&& task.label == 'a' && task.near == 'r1' && !task.together && !task.one_rack && task.apart == 5 && task.copies && task.saves && !task.lasts"
+    )
+    m = (
+        "minion.group == 'g' && minion.zone == 'z1' && minion.rack == 'r1' && minion.kind == 'a' && 'r1' in minion.labels "
+        '&& minion.cpu == 4000 && minion.mem == 8000 && minion.gpus == 2'
+    )
     c = fleet(doc(q='p', p={'may_land': f'{t} && {m}'}), dict(R1, gpus=2))
-    c.submit(A, steps=[{'count': 2, 'cpu': 1000, 'mem': 10, 'gpus': 1, 'label': 'a', 'near': 'r1', 'apart': 5, 'copies': True, 'saves': True}])
+    c.submit(
+        A,
+        steps=[
+            {
+                'count': 2,
+                'cpu': 1000,
+                'mem': 10,
+                'gpus': 1,
+                'label': 'a',
+                'near': 'r1',
+                'apart': 5,
+                'copies': True,
+                'saves': True,
+            }
+        ],
+    )
     c.go(800)
     assert len(c.on('m1')) == 2 and not c.b.count['policy.troubles']
 
@@ -203,6 +249,7 @@
 def test_without_policies_nothing_is_evaluated(monkeypatch):
     def never(*a):
         raise AssertionError('evaluated')
+
     for k in ('_ask', '_case', '_task', '_compiling'):
         monkeypatch.setattr(policy.Judge, k, never)
     c = fleet(QUEUES, R1, R2)
@@ -213,8 +260,10 @@
 
 
 def test_one_judgement_serves_all_that_are_alike_to_the_program():
-    c = fleet(doc(q='p', p={'may_land': "minion.rack != 'r9' && task.gpus == 0", 'score': '1.0'}),
-              *({'mid': f'm{i}', 'rack': f'r{i % 2}', 'cpu': 4000 + i, 'zone': f'z{i % 3}'} for i in range(8)))
+    c = fleet(
+        doc(q='p', p={'may_land': "minion.rack != 'r9' && task.gpus == 0", 'score': '1.0'}),
+        *({'mid': f'm{i}', 'rack': f'r{i % 2}', 'cpu': 4000 + i, 'zone': f'z{i % 3}'} for i in range(8)),
+    )
     for i in range(6):
         c.submit(f'{i:016x}', steps=[{'count': i + 1, 'cpu': 100 + i}])
     c.go(1500)
@@ -224,7 +273,9 @@
 
 def test_a_decision_judges_so_many_new_cases_and_the_next_goes_on(monkeypatch):
     monkeypatch.setattr(policy, 'MOST', 2)
-    c = fleet(doc(q='p', p={'may_land': "minion.rack == 'r9'"}), *({'mid': f'm{i}', 'rack': f'r{i}'} for i in range(10)))
+    c = fleet(
+        doc(q='p', p={'may_land': "minion.rack == 'r9'"}), *({'mid': f'm{i}', 'rack': f'r{i}'} for i in range(10))
+    )
     # nothing else gives cause to look
     c.mute.update(c.minions)
     c.submit(A)
@@ -238,17 +289,25 @@
 
 def test_what_is_remembered_is_bounded(monkeypatch):
     monkeypatch.setattr(policy, 'KEPT', 5)
-    c = fleet(doc(q='p', p={'may_land': 'task.cpu > 0'}), dict(R1, cpu=10 ** 6))
+    c = fleet(doc(q='p', p={'may_land': 'task.cpu > 0'}), dict(R1, cpu=10**6))
     for i in range(20):
         c.submit(f'{i:016x}', steps=[{'count': 1, 'cpu': 100 + i}])
     c.go(1500)
     assert len(c.on('m1')) == 20 and len(c.placer.judge.rules['p'].cache) <= 7
 
 
-@pytest.mark.parametrize('src, task, minion', [
-    ('task.cpu > 1 && minion.rack == task.near', ('cpu', 'near'), ('rack',)), ('true', (), ()),
-    ("task['cpu'] > 1", policy.TASK, ()), ('minion.labels.exists(l, l == minion.zone)', (), ('zone', 'labels')),
-    ('[minion].all(m, m.rack == "r1")', (), policy.MINION), ('minion.colour == 1', (), ()), ('minion . rack == "x"', (), policy.MINION)])
+@pytest.mark.parametrize(
+    'src, task, minion',
+    [
+        ('task.cpu > 1 && minion.rack == task.near', ('cpu', 'near'), ('rack',)),
+        ('true', (), ()),
+        ("task['cpu'] > 1", policy.TASK, ()),
+        ('minion.labels.exists(l, l == minion.zone)', (), ('zone', 'labels')),
+        ('[minion].all(m, m.rack == "r1")', (), policy.MINION),
+        ('minion.colour == 1', (), ()),
+        ('minion . rack == "x"', (), policy.MINION),
+    ],
+)
 def test_which_fields_a_program_reads(src, task, minion):
     got = reads(src)
     assert set(got['task']) == set(task) and set(got['minion']) == set(minion)
@@ -276,8 +335,10 @@
     held = []
     monkeypatch.setattr(type(c.b), 'chore', lambda b, steps, then: held.append((steps, then)))
     # as another holder's document comes: it was checked there
-    raw = queues.row({'number': 2, 'by': '', 'at': 0, 'doc': queues.squeeze(json.dumps(doc(2, q='p', p={'may_land': 'true'})))})
-    c.b.atlas.merge([('queues', 10 ** 6, raw)])
+    raw = queues.row(
+        {'number': 2, 'by': '', 'at': 0, 'doc': queues.squeeze(json.dumps(doc(2, q='p', p={'may_land': 'true'})))}
+    )
+    c.b.atlas.merge([('queues', 10**6, raw)])
     c.submit(A)
     c.submit(B, 'quick')
     c.go(600)
@@ -290,8 +351,10 @@
 
 def test_a_policy_that_this_release_cant_read_says_no_and_is_told():
     c = fleet(QUEUES, R1)
-    raw = queues.row({'number': 2, 'by': '', 'at': 0, 'doc': queues.squeeze(json.dumps(doc(2, q='p', p={'may_land': 'later('})))})
-    c.b.atlas.merge([('queues', 10 ** 6, raw)])
+    raw = queues.row(
+        {'number': 2, 'by': '', 'at': 0, 'doc': queues.squeeze(json.dumps(doc(2, q='p', p={'may_land': 'later('})))}
+    )
+    c.b.atlas.merge([('queues', 10**6, raw)])
     c.go(200)
     c.submit(A)
     c.go(800)
@@ -306,6 +369,8 @@
 
 def test_the_language_of_policies_is_not_read_where_there_are_none():
     # start-up time and memory are priced: the library is for those who write policies
-    src = ('import sys; from asterwharf.orchard import node; import asterwharf.wire.kinds\n'
-           'sys.exit("celpy" in sys.modules)')
+    src = (
+        'import sys; from asterwharf.orchard import node; import asterwharf.wire.kinds\n'
+        'sys.exit("celpy" in sys.modules)'
+    )
     assert subprocess.run([sys.executable, '-c', src], cwd=Path(__file__).parent.parent).returncode == 0
--- a/tests/test_orchard_views.py
+++ b/tests/test_orchard_views.py
@@ -63,16 +63,22 @@
     c.go(600)
     j = c.job()
     assert j['state'] == 'running' and [s['count'] for s in j['steps']] == [2, 1] and j['steps'][0]['running'] == 2
-    assert [(r['task'], r['minion'], r['run'], r['state']) for r in j['runs']] == [(f'{A}.0.0.{i}', 'm1', 1, 'running') for i in (0, 1)]
+    assert [(r['task'], r['minion'], r['run'], r['state']) for r in j['runs']] == [
+        (f'{A}.0.0.{i}', 'm1', 1, 'running') for i in (0, 1)
+    ]
     assert j['runs'][0]['percent'] > 0 and j['steps'][1]['why'] == 'waits for steps 0'
     assert c.ask('y_job', id=A, queue='quick')[0] == c.ask('y_job', id=B, queue='q')[0] == 'unknown_job'
 
 
-@pytest.mark.parametrize('steps, why', [
-    ([{'count': 1, 'label': 'x9'}], 'no minion has the label x9'),
-    ([{'count': 1, 'cpu': 99000}], 'too large for every minion'),
-    ([{'count': 5, 'cpu': 4000, 'together': True}], 'no room for all 5 members at once'),
-    ([{'count': 1, 'cpu': 4000}], 'no room on 2 minions')])
+@pytest.mark.parametrize(
+    'steps, why',
+    [
+        ([{'count': 1, 'label': 'x9'}], 'no minion has the label x9'),
+        ([{'count': 1, 'cpu': 99000}], 'too large for every minion'),
+        ([{'count': 5, 'cpu': 4000, 'together': True}], 'no room for all 5 members at once'),
+        ([{'count': 1, 'cpu': 4000}], 'no room on 2 minions'),
+    ],
+)
 def test_a_job_says_why_it_waits(c, steps, why):
     c.minion('m1')
     c.minion('m2', rack='r2')
@@ -121,14 +127,28 @@
     c.minion('m1', gpus=2)
     c.submit(A)
     c.go(400)
-    m, = rows(c, 'minions', 'minions')
-    assert (m['name'], m['link'], m['up'], m['group'], m['zone'], m['rack'], m['kind']) == ('m1', 'registered', True, 'g', 'z1', 'r1', 'a')
-    assert m['free'] == {'cpu': 3000, 'mem': 8000, 'gpus': 2} and m['cpu'] == 4000 and m['tasks'] == 1 and not m['draining'] and not m['suspect']
+    (m,) = rows(c, 'minions', 'minions')
+    assert (m['name'], m['link'], m['up'], m['group'], m['zone'], m['rack'], m['kind']) == (
+        'm1',
+        'registered',
+        True,
+        'g',
+        'z1',
+        'r1',
+        'a',
+    )
+    assert (
+        m['free'] == {'cpu': 3000, 'mem': 8000, 'gpus': 2}
+        and m['cpu'] == 4000
+        and m['tasks'] == 1
+        and not m['draining']
+        and not m['suspect']
+    )
     assert 0 <= m['beat_ms_ago'] < 1500
     c.plot.placer.health.suspect('m1', 'test')
     c.mute.add('m1')
     c.go(4000)
-    m, = rows(c, 'minions', 'minions')
+    (m,) = rows(c, 'minions', 'minions')
     assert m['suspect'] and m['link'] == 'recovering' and not m['up'] and m['beat_ms_ago'] > 3000
     c.minion('m2')
     code, body = c.ask('minions', most=1)
@@ -140,7 +160,9 @@
     c.submit(A, steps=[{'count': 3, 'cpu': 1000}])
     c.go(600)
     got = rows(c, 'claims', 'claims')
-    assert [(r['task'], r['minion'], r['run'], r['state']) for r in got] == [(f'{A}.0.0.{i}', 'm1', 1, 'running') for i in range(3)]
+    assert [(r['task'], r['minion'], r['run'], r['state']) for r in got] == [
+        (f'{A}.0.0.{i}', 'm1', 1, 'running') for i in range(3)
+    ]
     assert all(c.wall - 1000 < r['since'] < c.wall and r['percent'] > 0 and r['queue'] == 'q' for r in got)
     code, body = c.ask('claims', most=2)
     assert body['total'] == 3 and len(body['claims']) == 2
@@ -156,7 +178,8 @@
     c.go(400)
     assert rows(c, 'counts', 'queues') == [
         {'queue': 'q', 'waiting': 0, 'running': 1, 'ended': 0, 'tasks_ready': 2, 'tasks_running': 1},
-        {'queue': 'quick', 'waiting': 1, 'running': 0, 'ended': 0, 'tasks_ready': 1, 'tasks_running': 0}]
+        {'queue': 'quick', 'waiting': 1, 'running': 0, 'ended': 0, 'tasks_ready': 1, 'tasks_running': 0},
+    ]
     c.ask('y_cancel', id=B, queue='quick')
     assert rows(c, 'counts', 'queues', queue='quick')[0]['ended'] == 1
 
@@ -169,8 +192,12 @@
     c.ask('zone_set', grp='core', zone='z9', emptied=True)
     c.go(200)
     z2, z9 = rows(c, 'zones', 'zones')
-    assert (z2['zone'], z2['emptied'], z2['minions'], z2['tasks']) == ('z2', True, 1, 1) and z2['since'] and z9['minions'] == 0
-    cell, = rows(c, 'cells', 'cells', grp='core')
+    assert (
+        (z2['zone'], z2['emptied'], z2['minions'], z2['tasks']) == ('z2', True, 1, 1)
+        and z2['since']
+        and z9['minions'] == 0
+    )
+    (cell,) = rows(c, 'cells', 'cells', grp='core')
     assert cell['holder'] == 't0' and cell['seats'] == ['t0']
 
 
@@ -178,14 +205,23 @@
     monkeypatch.setattr(type(c.cell), 'sure', lambda *a, **k: False)
     for op in ('jobs', 'minions', 'claims', 'counts', 'zones', 'y_job', 'drain', 'cells'):
         got = []
-        getattr(c.gate, 'do_' + op)({'id': A, 'queue': 'q', 'minion': 'm', 'on': True}, lambda *r: got.append(r[0]), c.cell)
+        getattr(c.gate, 'do_' + op)(
+            {'id': A, 'queue': 'q', 'minion': 'm', 'on': True}, lambda *r: got.append(r[0]), c.cell
+        )
         assert got == ['no_holder'], op
 
 
-@pytest.mark.parametrize('op', ['submit', 'job', 'cancel', 'why', 'config_put', 'judge', 'gone', 'own', 'import', 'nonsense'])
+@pytest.mark.parametrize(
+    'op', ['submit', 'job', 'cancel', 'why', 'config_put', 'judge', 'gone', 'own', 'import', 'nonsense']
+)
 def test_what_makes_no_sense_here_has_its_number(c, op):
     got = []
-    c.ferry.start(op, 'commons', {'tenant': 't', 'id': 'j', 'spec': {}, 'minion': 'm', 'config': {}, 'base': 0}, lambda *r: got.append(r))
+    c.ferry.start(
+        op,
+        'commons',
+        {'tenant': 't', 'id': 'j', 'spec': {}, 'minion': 'm', 'config': {}, 'base': 0},
+        lambda *r: got.append(r),
+    )
     c.turn()
     assert got and got[0][0] == 'no_path' and got[0][1]['details'] and TABLE['no_path'].http == 404
 
@@ -199,7 +235,7 @@
     c.submit(B)
     c.go(3000)
     assert c.on('m1') == [f'{A}.0.0.0'] and list(c.minions['m1'].runs) == [f'{A}.0.0.0']
-    m, = rows(c, 'minions', 'minions')
+    (m,) = rows(c, 'minions', 'minions')
     assert m['draining'] and m['drained_by'] == 'op' and m['tasks'] == 1
     assert c.ask('drain', minion='m1', on=False)[0] == 'ok'
     c.go(1500)
@@ -247,6 +283,7 @@
 
     def do(knd, **doc):
         return y.apply(1, pack(knd, {'at': 5} | doc))
+
     do('y_submit', id=A, queue=[{'name': 'q', 'group': 'g'}], spec={'steps': [{'count': 1}]}, sum='s')
     start = {'bundles': [{'items': [{'task': f'{A}.0.0.0', 'run': 1, 'mid': 'm1'}]}]}
     do('y_drain', minion='m1', on=True, by='op', until=9)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -81,6 +81,7 @@
     def sight(n):
         nod = f.node('t0' if n != 't0' else 't1')
         return next(c for c in nod.ctl if hasattr(c, 'sight')).sight.get(n, False)
+
     ws = watchers('e0', f.core + f.edges)
     f.w.cut('e0', ws[0])
     f.w.run(f.w.t + 15000)
@@ -126,7 +127,9 @@
     nod = f.node('e0')
     fer = next(c for c in nod.ctl if type(c).__name__ == 'Ferry')
     for i in range(40):
-        fer.start('submit', 'cell', {'tenant': 'basin', 'id': f'b{i}', 'spec': SMALL}, lambda c, b: got.append((c, b, f.w.t)))
+        fer.start(
+            'submit', 'cell', {'tenant': 'basin', 'id': f'b{i}', 'spec': SMALL}, lambda c, b: got.append((c, b, f.w.t))
+        )
     assert [c for c, _, _ in got] == ['overload'] * 35 and all(b['retry_ms'] > 0 and t == beg for _, b, t in got)
 
 
@@ -134,7 +137,9 @@
     f = Fleet(36, edges=1, minions=2).start()
     assert f.ready()
     # every link is at the one edge, which also holds the cell
-    f.call.configure(lambda d: dict(d, cells={'own': {'tenants': ['basin'], 'zones': ['z1', 'z2', 'z3'], 'seats': ['e0']}}))
+    f.call.configure(
+        lambda d: dict(d, cells={'own': {'tenants': ['basin'], 'zones': ['z1', 'z2', 'z3'], 'seats': ['e0']}})
+    )
     assert f.w.until(lambda: f.gid('own') and f.holder(f.gid('own')) == 'e0', 20000)
     mac = f.chair('e0', f.gid('own')).mac
     assert f.w.until(lambda: len(mac.minions) == 2 and all(m.up for m in mac.minions.values()), 20000)
@@ -147,6 +152,7 @@
 
 def test_a_forgotten_identifier_is_still_forgotten_after_its_tenant_moved():
     from asterwharf.sim import cells
+
     f = Fleet(41, edges=6, minions=6, kept_ms=1500).start()
     assert f.ready()
     f.call.submit('basin', 'old', SMALL)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -25,7 +25,7 @@
 start = importlib.util.module_from_spec(spec)
 spec.loader.exec_module(start)
 start.adapter()
-from adapter import control, front, names, settings, speech  # noqa: E402
+from adapter import control, front, names, settings, speech  # noqa: E402, F401 (other tests take them from here)
 
 CORE = {'node_name': 'core-hall-1', 'role': 'any', 'machine_class': 'core', 'serves': 'control', 'ip': '10.1.0.13', 'zone': 'hall',
         'listen_on.control': '10.1.0.13:8166', 'internal_ports': '7720,7735', 'first_boot': 'true',
@@ -136,7 +136,7 @@
 
 def test_a_running_process_takes_over_what_is_safe(tmp_path):
     old = settings.load(written(tmp_path, CORE)).ok
-    new = settings.load(written(tmp_path, dict(CORE, **{'beat_every_ms': '900', 'seed_nodes': '10.9.0.1:8166', 'first_boot': 'false'}))).ok
+    new = settings.load(written(tmp_path, dict(CORE, beat_every_ms='900', seed_nodes='10.9.0.1:8166', first_boot='false'))).ok
     now, left = own.reread(old, new)
     assert now.call.beat_ms == 900 and now.seeds == ['10.9.0.1:7720'] and now.founders == old.founders and 'found' in left
 
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -19,36 +19,71 @@
 
 
 def queue(i, **more):
-    return {'name': f'q{i}', 'host': f'h{i % 7}.example', 'prefix': f'/p{i}/', 'group': 'fit', 'timeout_ms': 3000, 'aim_ms': 1500,
-            'priority': i % 3, 'tries': 2, 'stretch': 1.5, **more}
+    return {
+        'name': f'q{i}',
+        'host': f'h{i % 7}.example',
+        'prefix': f'/p{i}/',
+        'group': 'fit',
+        'timeout_ms': 3000,
+        'aim_ms': 1500,
+        'priority': i % 3,
+        'tries': 2,
+        'stretch': 1.5,
+        **more,
+    }
 
 
 def doc(num, n=3, **more):
-    return {'number': num, 'queues': [queue(i) for i in range(n)], 'groups': [GROUP], 'limits': {'body_bytes': 4000}, **more}
+    return {
+        'number': num,
+        'queues': [queue(i) for i in range(n)],
+        'groups': [GROUP],
+        'limits': {'body_bytes': 4000},
+        **more,
+    }
 
 
 # --- what is refused
 BAD = [
-    ([], 'wanted an object'), ({'queues': [], 'groups': []}, 'number: missing'), (doc('7'), 'number: wanted int'),
-    (doc(True), 'number: wanted int'), (doc(0), 'number: 0'), (doc(1 << 60), 'number: 1152921504606846976'),
-    ({'number': 2, 'groups': []}, 'queues: missing'), ({'number': 2, 'queues': []}, 'groups: missing'),
-    (doc(2, queues={}), 'queues: wanted'), (doc(2, queues=[3]), 'queues[0]: wanted an object'), (doc(2, note='x'), 'note: unknown'),
-    (doc(2, queues=[queue(1, name='')]), 'queues[0].name: empty'), (doc(2, queues=[queue(1, name=4)]), 'queues[0].name: wanted str'),
+    ([], 'wanted an object'),
+    ({'queues': [], 'groups': []}, 'number: missing'),
+    (doc('7'), 'number: wanted int'),
+    (doc(True), 'number: wanted int'),
+    (doc(0), 'number: 0'),
+    (doc(1 << 60), 'number: 1152921504606846976'),
+    ({'number': 2, 'groups': []}, 'queues: missing'),
+    ({'number': 2, 'queues': []}, 'groups: missing'),
+    (doc(2, queues={}), 'queues: wanted'),
+    (doc(2, queues=[3]), 'queues[0]: wanted an object'),
+    (doc(2, note='x'), 'note: unknown'),
+    (doc(2, queues=[queue(1, name='')]), 'queues[0].name: empty'),
+    (doc(2, queues=[queue(1, name=4)]), 'queues[0].name: wanted str'),
     (doc(2, queues=[queue(1), queue(2, name='q1')]), "queues[1].name: 'q1' stands at queues[0] already"),
     (doc(2, groups=[GROUP, GROUP]), "groups[1].name: 'fit' stands at groups[0] already"),
     (doc(2, groups=[dict(GROUP, guards=1)]), 'groups[0].guards: wanted bool'),
     (doc(2, groups=[dict(GROUP, kind='x')]), 'groups[0].kind: unknown'),
-    (doc(2, queues=[queue(1), queue(2, host='H1.example:80', prefix='/p1/')]), 'queues[1]: the host and prefix of queues[0]'),
+    (
+        doc(2, queues=[queue(1), queue(2, host='H1.example:80', prefix='/p1/')]),
+        'queues[1]: the host and prefix of queues[0]',
+    ),
     (doc(2, queues=[queue(1, group='none')]), "queues[0].group: no group 'none'"),
-    (doc(2, queues=[queue(1, host='')]), 'queues[0].host: empty'), (doc(2, queues=[queue(1, host=None)]), 'queues[0].host: wanted str'),
+    (doc(2, queues=[queue(1, host='')]), 'queues[0].host: empty'),
+    (doc(2, queues=[queue(1, host=None)]), 'queues[0].host: wanted str'),
     (doc(2, queues=[queue(1, prefix='p/')]), "queues[0].prefix: 'p/' does not begin"),
-    (doc(2, queues=[queue(1, timeout_ms=0)]), 'queues[0].timeout_ms: 0'), (doc(2, queues=[queue(1, timeout_ms=2.5)]), 'wanted int'),
-    (doc(2, queues=[queue(1, timeout_ms=True)]), 'wanted int, got bool'), (doc(2, queues=[queue(1, tries=0)]), 'queues[0].tries: 0'),
-    (doc(2, queues=[queue(1, priority=-1)]), 'queues[0].priority: -1'), (doc(2, queues=[queue(1, aim_ms=-1)]), 'queues[0].aim_ms: -1'),
-    (doc(2, queues=[queue(1, stretch=0)]), 'queues[0].stretch: 0'), (doc(2, queues=[queue(1, stretch='2')]), 'wanted float'),
-    (doc(2, queues=[queue(1, aim_ms=1 << 60)]), 'queues[0].aim_ms'), (doc(2, queues=[queue(1, more=[])]), 'queues[0].more: wanted dict'),
-    (doc(2, queues=[queue(1, colour='red')]), 'queues[0].colour: unknown'), (doc(2, limits={'idle_ms': -1}), 'limits.idle_ms: -1'),
-    (doc(2, limits={'idle_ms': '1'}), 'limits.idle_ms: wanted int'), (doc(2, more=3), 'more: wanted dict'),
+    (doc(2, queues=[queue(1, timeout_ms=0)]), 'queues[0].timeout_ms: 0'),
+    (doc(2, queues=[queue(1, timeout_ms=2.5)]), 'wanted int'),
+    (doc(2, queues=[queue(1, timeout_ms=True)]), 'wanted int, got bool'),
+    (doc(2, queues=[queue(1, tries=0)]), 'queues[0].tries: 0'),
+    (doc(2, queues=[queue(1, priority=-1)]), 'queues[0].priority: -1'),
+    (doc(2, queues=[queue(1, aim_ms=-1)]), 'queues[0].aim_ms: -1'),
+    (doc(2, queues=[queue(1, stretch=0)]), 'queues[0].stretch: 0'),
+    (doc(2, queues=[queue(1, stretch='2')]), 'wanted float'),
+    (doc(2, queues=[queue(1, aim_ms=1 << 60)]), 'queues[0].aim_ms'),
+    (doc(2, queues=[queue(1, more=[])]), 'queues[0].more: wanted dict'),
+    (doc(2, queues=[queue(1, colour='red')]), 'queues[0].colour: unknown'),
+    (doc(2, limits={'idle_ms': -1}), 'limits.idle_ms: -1'),
+    (doc(2, limits={'idle_ms': '1'}), 'limits.idle_ms: wanted int'),
+    (doc(2, more=3), 'more: wanted dict'),
 ]
 
 
@@ -98,8 +133,11 @@
 # --- changes by name
 def test_named_items_are_added_replaced_in_place_and_dropped():
     old = doc(3, 4, more={'x': 1})
-    req = {'number': 8, 'set': {'queues': [queue(9), queue(1, tries=7)], 'groups': [{'name': 'new'}]},
-           'drop': {'queues': ['q0', 'never', 'q1'], 'groups': ['gone']}}
+    req = {
+        'number': 8,
+        'set': {'queues': [queue(9), queue(1, tries=7)], 'groups': [{'name': 'new'}]},
+        'drop': {'queues': ['q0', 'never', 'q1'], 'groups': ['gone']},
+    }
     got = queues.changed(old, req).ok
     assert [q['name'] for q in got['queues']] == ['q1', 'q2', 'q3', 'q9'] and got['queues'][0]['tries'] == 7
     assert [g['name'] for g in got['groups']] == ['fit', 'new'] and (got['number'], got['more']) == (8, {'x': 1})
@@ -109,8 +147,20 @@
 
 # --- rows
 def order(c, op, num, base, sum=''):
-    return c.apply(op, pack('c_queues', {'number': num, 'base': base, 'by': 'op', 'at': 5, 'sum': sum or f's{num}',
-                                         'doc': queues.squeeze(json.dumps(doc(num)))}))
+    return c.apply(
+        op,
+        pack(
+            'c_queues',
+            {
+                'number': num,
+                'base': base,
+                'by': 'op',
+                'at': 5,
+                'sum': sum or f's{num}',
+                'doc': queues.squeeze(json.dumps(doc(num))),
+            },
+        ),
+    )
 
 
 def test_the_rows_hold_all_of_it():
@@ -118,14 +168,21 @@
     for i in range(1, KEPT + 11):
         assert order(c, i, i * 2, i * 2 - 2)['word'] == 'ok'
     top = KEPT * 2 + 20
-    assert order(c, 200, top + 2, top - 2)['word'] == 'stale' and order(c, 201, top, top, 'other') == {'word': 'bad', 'number': top}
+    assert order(c, 200, top + 2, top - 2)['word'] == 'stale' and order(c, 201, top, top, 'other') == {
+        'word': 'bad',
+        'number': top,
+    }
     c.apply(202, pack('c_zone', {'zone': 'z1', 'emptied': True, 'at': 7}))
     c.apply(203, pack('c_zone', {'zone': 'z2', 'emptied': False, 'at': 8}))
     rows, two = c.delta(), Core()
     two.load(rows)
     assert set(rows) == {'queues', 'taken', 'empty:z1'} and not c.delta()
     for x in (c, two):
-        assert x.number == top and x.queues == ({'number': top, 'by': 'op', 'at': 5}, doc(top)) and x.atlas.emptied == {'z1'}
+        assert (
+            x.number == top
+            and x.queues == ({'number': top, 'by': 'op', 'at': 5}, doc(top))
+            and x.atlas.emptied == {'z1'}
+        )
         # the last ones are remembered, the first are not
         assert order(x, 210, 22, 20) == {'word': 'ok', 'number': 22} and order(x, 211, 20, 18)['word'] == 'stale'
     # a release that knows no such rows reads each as text
@@ -135,18 +192,25 @@
 # --- the compiled form
 def made(d, op=1):
     at = Atlas()
-    at.merge([('queues', op, queues.row({'number': d['number'], 'by': '', 'at': 0, 'doc': queues.squeeze(json.dumps(d))}))])
+    at.merge(
+        [('queues', op, queues.row({'number': d['number'], 'by': '', 'at': 0, 'doc': queues.squeeze(json.dumps(d))}))]
+    )
     return at.queues
 
 
 def test_it_is_compiled_once_and_only_when_it_is_new():
     at, seen = Atlas(), queues.compiled.cache_info
     assert at.queues is None and at.number == 0
-    rows = [('queues', 5, queues.row({'number': 3, 'by': '', 'at': 0, 'doc': queues.squeeze(json.dumps(doc(3)))})), ('empty:z1', 6, b'9')]
+    rows = [
+        ('queues', 5, queues.row({'number': 3, 'by': '', 'at': 0, 'doc': queues.squeeze(json.dumps(doc(3)))})),
+        ('empty:z1', 6, b'9'),
+    ]
     was = seen().misses
     assert at.merge(rows) and at.number == 3 and seen().misses == was
     got = at.queues
-    assert not at.merge(rows) and at.merge([('own:minion:a', 7, b'x')]) and at.queues is got and seen().misses == was + 1
+    assert (
+        not at.merge(rows) and at.merge([('own:minion:a', 7, b'x')]) and at.queues is got and seen().misses == was + 1
+    )
     # of two copies the newer wins
     old = queues.row({'number': 2, 'by': '', 'at': 0, 'doc': queues.squeeze(json.dumps(doc(2)))})
     assert not at.merge([('queues', 4, old)]) and at.queues is got and at.number == 3
@@ -154,13 +218,30 @@
 
 
 def test_the_longest_prefix_of_the_host_is_found():
-    rows = [('a', 'H.example', '/'), ('b', 'h.example:80', '/ab/'), ('c', 'h.example', '/ab/cd/'), ('d', 'h.example', '/ac'),
-            ('e', 'other', '/ab/'), ('f', 'h.example', '/ab/ce/')]
+    rows = [
+        ('a', 'H.example', '/'),
+        ('b', 'h.example:80', '/ab/'),
+        ('c', 'h.example', '/ab/cd/'),
+        ('d', 'h.example', '/ac'),
+        ('e', 'other', '/ab/'),
+        ('f', 'h.example', '/ab/ce/'),
+    ]
     q = made(doc(1, queues=[queue(1, name=n, host=h, prefix=p) for n, h, p in rows]))
-    for host, path, want in [('h.example', '/ab/x', ('b', 'x')), ('H.EXAMPLE:8080', '/ab/cd/x?y', ('c', 'x?y')), ('h.example', '/ab', ('a', 'ab')),
-                             ('h.example', '/acid', ('d', 'id')), ('h.example', '/ab/cdx', ('b', 'cdx')), ('h.example:', '/ab/cf', ('b', 'cf')),
-                             ('other', '/ab/', ('e', '')), ('other', '/', None), ('example', '/', None), ('', '/', None), (None, '/', None),
-                             ('h.example', '', None), ('h.example', 'x', None)]:
+    for host, path, want in [
+        ('h.example', '/ab/x', ('b', 'x')),
+        ('H.EXAMPLE:8080', '/ab/cd/x?y', ('c', 'x?y')),
+        ('h.example', '/ab', ('a', 'ab')),
+        ('h.example', '/acid', ('d', 'id')),
+        ('h.example', '/ab/cdx', ('b', 'cdx')),
+        ('h.example:', '/ab/cf', ('b', 'cf')),
+        ('other', '/ab/', ('e', '')),
+        ('other', '/', None),
+        ('example', '/', None),
+        ('', '/', None),
+        (None, '/', None),
+        ('h.example', '', None),
+        ('h.example', 'x', None),
+    ]:
         got = q.find(host, path)
         assert (got and (got[0].name, got[1])) == want, (host, path)
 
@@ -187,9 +268,9 @@
     return n[0]
 
 
-@pytest.mark.parametrize('work', [queues.check, made, lambda d: queues.changed(d, {'number': 9, 'set': {'queues': d['queues'][::2]}}).ok])
+@pytest.mark.parametrize(
+    'work', [queues.check, made, lambda d: queues.changed(d, {'number': 9, 'set': {'queues': d['queues'][::2]}}).ok]
+)
 def test_work_grows_with_the_document_and_no_faster(work):
     one, two = (calls(lambda: work(doc(1, n))) for n in (1000, 2000))
     assert one / 1000 < 60 and two < one * 2.1, (one, two)
-
-
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -34,6 +34,7 @@
 
     def spawns(n, *args):
         every[n] = spawn(n, *args)
+
     s.procs._spawn = spawns
     return s, every
 
@@ -48,7 +49,10 @@
     assert tot['jobs'] == tot['kept'] > 0 and tot['starts'] > 0
     assert (tot['two_runs_at_once'], tot['started_after_done']) == (0, 0)
     assert [c['edges'] for c in rep['configurations']] == [2] and rep['configurations'][0]['everywhere_ms'] < 16000
-    assert set(rep['nodes']) == {'core-0', 'core-1', 'core-2', 'edge-0', 'edge-1'} and rep['cores']['core-0']['peak_mb'] > 0
+    assert (
+        set(rep['nodes']) == {'core-0', 'core-1', 'core-2', 'edge-0', 'edge-1'}
+        and rep['cores']['core-0']['peak_mb'] > 0
+    )
     assert json.loads(json.dumps(rep))
 
 
@@ -64,6 +68,7 @@
     def interrupted():
         assert len(running(every)) == 7
         raise KeyboardInterrupt
+
     s.play = interrupted
     with pytest.raises(KeyboardInterrupt):
         s.run()
@@ -98,8 +103,15 @@
 def minion(monkeypatch):
     now = [1000]
     monkeypatch.setattr(hollow, 'boot_ms', lambda: now[0])
-    cfg = {'beat_ms': 1500, 'max_hold_ms': 6000, 'stop_grace_ms': 400, 'gang_wait_ms': 3000, 'task_cpu': 2000,
-           'control': ['10.0.0.1:80', '10.0.0.2:80'], 'regions': {'10.0.0.1:80': 'x', '10.0.0.2:80': 'y', '10.0.0.3:80': 'y'}}
+    cfg = {
+        'beat_ms': 1500,
+        'max_hold_ms': 6000,
+        'stop_grace_ms': 400,
+        'gang_wait_ms': 3000,
+        'task_cpu': 2000,
+        'control': ['10.0.0.1:80', '10.0.0.2:80'],
+        'regions': {'10.0.0.1:80': 'x', '10.0.0.2:80': 'y', '10.0.0.3:80': 'y'},
+    }
     h = SimpleNamespace(cfg=cfg, wire=Wire(), rng=random.Random(1), seen=Counter(), delay=[], rows=[], cut='')
     h.log = lambda *a: h.rows.append(a)
     h.pick, h.reaches = hollow.Hollow.pick.__get__(h), hollow.Hollow.reaches.__get__(h)
@@ -178,24 +190,46 @@
 
 def test_two_runs_at_once_and_starts_after_a_noted_end_are_seen(tmp_path):
     a, b, c = (f'{JOB}.0.0.{i}' for i in range(3))
-    r = rows(tmp_path, ['s', 100, a, 1, 'm1', 'z'], ['s', 200, a, 2, 'm2', 'z'], ['e', 300, a, 1, 'done'],
-             ['s', 100, b, 1, 'm1', 'z'], ['e', 150, b, 1, 'done'], ['n', 160, b, 1, 'done'], ['s', 170, b, 2, 'm2', 'z'],
-             # its minion's hold lapsed before the end was noted: it may be started again
-             ['s', 100, c, 1, 'm3', 'z'], ['e', 150, c, 1, 'done'], ['h', 155, 'm3'], ['n', 300, c, 1, 'done'], ['s', 200, c, 2, 'm2', 'z'])
+    r = rows(
+        tmp_path,
+        ['s', 100, a, 1, 'm1', 'z'],
+        ['s', 200, a, 2, 'm2', 'z'],
+        ['e', 300, a, 1, 'done'],
+        ['s', 100, b, 1, 'm1', 'z'],
+        ['e', 150, b, 1, 'done'],
+        ['n', 160, b, 1, 'done'],
+        ['s', 170, b, 2, 'm2', 'z'],
+        # its minion's hold lapsed before the end was noted: it may be started again
+        ['s', 100, c, 1, 'm3', 'z'],
+        ['e', 150, c, 1, 'done'],
+        ['h', 155, 'm3'],
+        ['n', 300, c, 1, 'done'],
+        ['s', 200, c, 2, 'm2', 'z'],
+    )
     assert r.twice() == {'two_runs_at_once': 1, 'started_after_done': 1}
 
 
 def test_pauses_and_starts_again_are_measured(tmp_path):
     a, b, c = (f'{JOB}.0.0.{i}' for i in range(3))
-    r = rows(tmp_path, ['s', 100, a, 1, 'm', 'z'], ['s', 200, b, 1, 'm', 'z'], ['e', 250, a, 1, 'crash'],
-             ['s', 1200, a, 2, 'm', 'z'], ['s', 1300, c, 1, 'm', 'z'])
+    r = rows(
+        tmp_path,
+        ['s', 100, a, 1, 'm', 'z'],
+        ['s', 200, b, 1, 'm', 'z'],
+        ['e', 250, a, 1, 'crash'],
+        ['s', 1200, a, 2, 'm', 'z'],
+        ['s', 1300, c, 1, 'm', 'z'],
+    )
     assert r.pause(50, 500) == 1000 and r.pause(50, 100) == 100 and r.pause(1300, 500) is None
     assert r.again(240, 'crash', 1400) == {'tasks': 1, 'half_ms': 960, '99 of 100_ms': 960, 'not_again': 0}
 
 
 def test_a_level_is_carried_with_its_starts_and_its_urgent_work_in_time():
     lv = {'starts_s': 90, 'offered_starts_s': 100, 'urgent_start_ms': {'99 of 100': 1400, 'of': 3}}
-    assert reached(lv) and not reached(lv | {'starts_s': 80}) and not reached(lv | {'urgent_start_ms': {'99 of 100': 1401, 'of': 3}})
+    assert (
+        reached(lv)
+        and not reached(lv | {'starts_s': 80})
+        and not reached(lv | {'urgent_start_ms': {'99 of 100': 1401, 'of': 3}})
+    )
     # urgent work that never started is late, too; where there was none, nothing was
     assert not reached(lv | {'urgent_start_ms': {'99 of 100': None, 'of': 3}})
     assert reached(lv | {'urgent_start_ms': {'99 of 100': None, 'of': 0}})
--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -138,14 +138,21 @@
     for old, new in zip(list(f.core), ('t7', 't8', 't9')):
         f.w.start(new)
         # as the runbook says: the new one is there, the old one stops, the word is said until it is done
-        assert f.w.until(lambda: all(f.holder(g) and new in f.chair(f.holder(g), g).seat.ten.ways
-                                     for g in ('core', 'commons')), 8000)
+        assert f.w.until(
+            lambda: all(f.holder(g) and new in f.chair(f.holder(g), g).seat.ten.ways for g in ('core', 'commons')), 8000
+        )
         f.w.kill(old)
         assert f.w.until(lambda: f.holder('core') and f.holder('commons'), 8000)
         assert f.w.until(lambda: s.ask(old, new) == 'ok', 20000)
         f.core = [n for n in f.core if n != old] + [new]
-        assert f.w.until(lambda: all(f.chair(n, g).seat.log.seats.get(new) and not f.chair(n, g).seat.changing
-                                     for n in f.core for g in ('core', 'commons')), 8000)
+        assert f.w.until(
+            lambda: all(
+                f.chair(n, g).seat.log.seats.get(new) and not f.chair(n, g).seat.changing
+                for n in f.core
+                for g in ('core', 'commons')
+            ),
+            8000,
+        )
     assert s.seats() == ['t7', 't8', 't9'] and f.settle(60000) and not f.obs.broken, f.obs.broken
     # nobody was told the new addresses by any settings file; and what is started now asks what is left of them
     assert all(set(f.core) <= set(f.node(e).b.links) for e in f.edges)
--- a/tests/test_seats_grow.py
+++ b/tests/test_seats_grow.py
@@ -18,6 +18,7 @@
             nod = was(h, inc, rng, now, wall)
             nod.b.set = replace(nod.b.set, founders=founders, core_size=3)
             return nod
+
         h.build = build
     every, f.core = f.core, [n for n in f.core if n not in late]
     f.start()
--- a/tests/test_sickle.py
+++ b/tests/test_sickle.py
@@ -25,14 +25,21 @@
 
 @pytest.fixture
 def sickle(live):
-    env = dict(os.environ, ASTERWHARF_AT=f"{live.http['e0']},{live.http['e1']}", ASTERWHARF_TOKEN='s3cret', USER='op')
+    env = dict(os.environ, ASTERWHARF_AT=f'{live.http["e0"]},{live.http["e1"]}', ASTERWHARF_TOKEN='s3cret', USER='op')
 
     def run(*args, doc=None, rc=0, **over):
-        got = subprocess.run([sys.executable, '-m', 'asterwharf.sickle.main', *args], env=dict(env, **over),
-                             input=None if doc is None else json.dumps(doc), capture_output=True, text=True, timeout=60)
+        got = subprocess.run(
+            [sys.executable, '-m', 'asterwharf.sickle.main', *args],
+            env=dict(env, **over),
+            input=None if doc is None else json.dumps(doc),
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
         assert got.returncode == rc, (got.returncode, got.stdout, got.stderr)
         assert 'Traceback' not in got.stderr
         return got.stdout + got.stderr
+
     return run
 
 
@@ -90,7 +97,10 @@
     sickle('job', 'put', 'basin', 'stays', '-', doc=LONG)
 
     def where():
-        return next((r['minion'] for r in json.loads(sickle('claims', '--json'))['claims'] if r['task'] == 'basin/stays/a'), '')
+        return next(
+            (r['minion'] for r in json.loads(sickle('claims', '--json'))['claims'] if r['task'] == 'basin/stays/a'), ''
+        )
+
     assert live.until(where)
     old = where()
     assert 'pushed out' in sickle('minion', 'drain', old, '--within', '600')
@@ -123,14 +133,17 @@
     live.wipe(n)
     # the same machine's name, an empty disk, and another address
     from asterwharf.fleet.live import ports
+
     live.bind[n] = f'127.0.0.1:{ports(1)[0]}'
     live.start(n)
 
     def whole():
         # in every group: a second loss before this would be two of three at once
         grps, inc = json.loads(sickle('seats'))['groups'], live.status(n)['inc']
-        return all(not g['changing'] and g['seats'][n] == inc for g in grps.values()) and \
-            all(s['acked'] == grps['core']['last'] for s in grps['core']['siblings'].values())
+        return all(not g['changing'] and g['seats'][n] == inc for g in grps.values()) and all(
+            s['acked'] == grps['core']['last'] for s in grps['core']['siblings'].values()
+        )
+
     assert live.until(whole)
     assert old != live.bind[n] and live.until(lambda: live.status(n)['sequence'] >= 3)
     # and the fleet stands the next loss
@@ -147,6 +160,7 @@
     def owns():
         rows = json.loads(sickle('cells', '--json'))['cells']
         return rows and 'tenant:basin' in rows[0]['owns'] and 'minion:m00' in rows[0]['owns']
+
     # what runs in the old cell ends there first
     assert live.until(lambda: 'cancelled' in sickle('job', 'cancel', 'basin', 'after'))
     assert live.until(owns)
@@ -165,12 +179,13 @@
             return 'nothing is wrong' in sickle('trouble')
         except AssertionError:
             return False
+
     assert live.until(calm)
     gone = next(c for c in live.core if c != live.status('e1')['holders']['core']['name'])
     live.kill('e0')
     live.kill(gone)
     out = sickle('trouble', rc=4)
-    assert f'e0  ' in out and f'{gone}  ' in out and 'does not answer' in out and '2 of 3 seats' in out
+    assert 'e0  ' in out and f'{gone}  ' in out and 'does not answer' in out and '2 of 3 seats' in out
     # the whole core gone: it still answers, from the edges alone
     for c in live.core:
         if c in live.procs:
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -23,8 +23,17 @@
 
 
 def test_every_slope_is_there_and_its_units_happened(got):
-    assert set(got['slopes']) == {'nothing, a second', 'idle beat', 'run listed in a beat', 'submit', 'start', 'end',
-                                  'state question', 'configuration change', 'view change, planned'}
+    assert set(got['slopes']) == {
+        'nothing, a second',
+        'idle beat',
+        'run listed in a beat',
+        'submit',
+        'start',
+        'end',
+        'state question',
+        'configuration change',
+        'view change, planned',
+    }
     assert all(r['units'] >= 1 for r in got['slopes'].values())
     # beats and jobs travel as bytes, what must be kept is synced
     assert got['slopes']['idle beat']['http bytes'] > 100 and got['slopes']['submit']['syncs'] > 0
@@ -34,7 +43,9 @@
 def test_the_plan_starts_what_was_asked_for(got):
     p = got['plan']
     assert p['starts, a second'] >= 0.5 * p['wanted starts a second'] > 0 and p['start delay median, ms'] > 0
-    assert p['jobs kept'] > 0 and p['memory of jobs, bytes'] > p['jobs kept'] * 1000 and p['memory of links, bytes'] > 1000
+    assert (
+        p['jobs kept'] > 0 and p['memory of jobs, bytes'] > p['jobs kept'] * 1000 and p['memory of links, bytes'] > 1000
+    )
 
 
 def test_after_a_change_of_holder_every_minion_registers_again(got):
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -57,6 +57,7 @@
         @handler('unreachable')
         def _on_unreachable(self, *args):
             told.append(args)
+
     # a listener that accepts nobody: once its queue is full, whoever dials waits for an answer
     with socket.create_server(('127.0.0.1', 0), backlog=0) as srv:
         full = [socket.socket() for _ in range(4)]
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -62,7 +62,7 @@
     f, n, p = ready()
     for i in range(300):
         # as many cases as tasks: each is another shape
-        spec = {'class': 'surge', 'tasks': [{'name': 'a', 'cores': 0.01 + i / 1000, 'run': {'ms': 10 ** 6}}]}
+        spec = {'class': 'surge', 'tasks': [{'name': 'a', 'cores': 0.01 + i / 1000, 'run': {'ms': 10**6}}]}
         p.mac._keep(build(spec, 'basin', f'c{i}', 's', i))
     pol = p.b.config.policy('basin')
     was, seen = len(pol.cache), []
@@ -88,6 +88,7 @@
 
 def test_checking_a_large_configuration_is_cut_into_slices():
     from asterwharf.scheduler import config
+
     doc = {'zones': {'z1': {}}, 'tenants': {f't{i}': {'weight': 1 + i / 7} for i in range(19000)}}
     config.forget()
     steps = list(config.checking(json.loads(json.dumps(doc)), 3))
@@ -96,5 +97,7 @@
     assert got.is_ok() and len(got.ok.tenants) == 19000
     # a mistake in the middle of it is found all the same
     doc['tenants']['t9000'] = {'weight': 'heavy', 'colour': 1}
-    assert config.check(doc).error.more == ['tenants.t9000.colour: unknown; known are max_cores, max_jobs, policy, weight',
-                                            'tenants.t9000.weight: wanted float, got str']
+    assert config.check(doc).error.more == [
+        'tenants.t9000.colour: unknown; known are max_cores, max_jobs, policy, weight',
+        'tenants.t9000.weight: wanted float, got str',
+    ]
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -23,7 +23,9 @@
     f.start()
     assert f.ready()
     for i in range(15):
-        f.w.after(i * 100, f.call.submit, 'basin', f'j{i}', {'class': 'surge', 'tasks': [{'name': 'a', 'run': {'ms': 50}}]})
+        f.w.after(
+            i * 100, f.call.submit, 'basin', f'j{i}', {'class': 'surge', 'tasks': [{'name': 'a', 'run': {'ms': 50}}]}
+        )
     f.w.run(f.w.t + 2000)
     assert f.settle() and not f.obs.broken and f.obs.count['done'] == 15
 
@@ -32,7 +34,9 @@
     f = Fleet(22, proto=1).start()
     assert f.ready()
     for i in range(120):
-        f.w.after(i * 40, f.call.submit, 'basin', f'j{i}', {'class': 'surge', 'tasks': [{'name': 'a', 'run': {'ms': 50}}]})
+        f.w.after(
+            i * 40, f.call.submit, 'basin', f'j{i}', {'class': 'surge', 'tasks': [{'name': 'a', 'run': {'ms': 50}}]}
+        )
     f.w.run(f.w.t + 6000)
     assert f.settle() and f.chair('t0', 'commons').seat.log.rows_op > 100
     kept = set(f.cell().jobs)
@@ -45,8 +49,19 @@
     assert set(f.cell().jobs) == kept and f.chair(f.holder('core'), 'core').mac.sequence == 1
 
 
-@pytest.mark.parametrize('scen', ['killed_while_seating', 'snapshot_cut', 'many_doors', 'zone_fought', 'redialled', 'healed_midway',
-                                  'moved_and_wiped', 'agent_frozen_long'])
+@pytest.mark.parametrize(
+    'scen',
+    [
+        'killed_while_seating',
+        'snapshot_cut',
+        'many_doors',
+        'zone_fought',
+        'redialled',
+        'healed_midway',
+        'moved_and_wiped',
+        'agent_frozen_long',
+    ],
+)
 def test_an_older_core_node_edge_and_agent_stand_the_corner_cases_among_newer_ones(scen):
     olds = {'t1': PROTO - 1, 'e0': PROTO - 1, 'm0': PROTO - 1}
     r = scenarios.run(scen, 5, olds=olds)
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -41,9 +41,13 @@
         f.w.wipe(n)
         f.w.start(n)
         # a second loss before this is delivered would be two of three at once
-        assert f.w.until(lambda: all(f.holder(g) and f.chair(n, g).seat.seated
-                                     and not any(f.chair(x, g).seat.changing for x in f.core)
-                                     for g in ('core', 'commons')), 20000)
+        assert f.w.until(
+            lambda: all(
+                f.holder(g) and f.chair(n, g).seat.seated and not any(f.chair(x, g).seat.changing for x in f.core)
+                for g in ('core', 'commons')
+            ),
+            20000,
+        )
     assert f.chair(f.holder('core'), 'core').mac.sequence == 1
 
 
@@ -74,16 +78,29 @@
     gone = next(n for n in f.core if n != f.holder('core') and n != f.holder('commons'))
     f.w.kill(gone)
     f.core.remove(gone)
-    f._host('t9', 'trellis', 'z1', f.w.hosts[f.core[0]].node.b.set.link, f.w.hosts[f.core[0]].node.b.set.view, '',
-            {'core_size': 3})
+    f._host(
+        't9',
+        'trellis',
+        'z1',
+        f.w.hosts[f.core[0]].node.b.set.link,
+        f.w.hosts[f.core[0]].node.b.set.view,
+        '',
+        {'core_size': 3},
+    )
     f.core.append('t9')
     f.w.start('t9')
     f.w.run(f.w.t + 10000)
     # the old one is not out of sight for long enough yet
     assert not f.chair('t9', 'core').seat.seated
     # seated, and each of them knows that this is delivered: before, a second loss stops the group (limits.md)
-    assert f.w.until(lambda: all(f.chair(n, g).seat.log.seats.get('t9') and not f.chair(n, g).seat.changing
-                                 for n in f.core for g in ('core', 'commons')), 60000)
+    assert f.w.until(
+        lambda: all(
+            f.chair(n, g).seat.log.seats.get('t9') and not f.chair(n, g).seat.changing
+            for n in f.core
+            for g in ('core', 'commons')
+        ),
+        60000,
+    )
     # and now it counts: another may go
     n = next(x for x in f.core if x != 't9')
     f.w.kill(n)
@@ -92,15 +109,20 @@
 
 def test_a_log_cut_short_brings_a_late_sibling_up_by_its_rows():
     from asterwharf.base.settings import View
+
     f = up(9, view=View(keep_log=20))
     late = next(n for n in f.core if n != f.holder('commons') and n != f.holder('core'))
     f.w.kill(late)
     for i in range(60):
-        f.w.after(i * 50, f.call.submit, 'basin', f'j{i}', {'class': 'surge', 'tasks': [{'name': 'a', 'run': {'ms': 20}}]})
+        f.w.after(
+            i * 50, f.call.submit, 'basin', f'j{i}', {'class': 'surge', 'tasks': [{'name': 'a', 'run': {'ms': 20}}]}
+        )
     f.w.run(f.w.t + 10000)
     assert f.chair(f.holder('commons'), 'commons').seat.log.cut_op > 40
     f.w.start(late)
-    assert f.w.until(lambda: f.chair(late, 'commons').seat.upto == f.chair(f.holder('commons'), 'commons').seat.upto, 20000)
+    assert f.w.until(
+        lambda: f.chair(late, 'commons').seat.upto == f.chair(f.holder('commons'), 'commons').seat.upto, 20000
+    )
     assert f.chair(late, 'commons').mac.jobs.keys() == f.cell().jobs.keys()
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -4,8 +4,10 @@
 
 import pytest
 
-from asterwharf.wire import kinds  # noqa: F401
-from asterwharf.wire import schema
+from asterwharf.wire import (
+    kinds,  # noqa: F401
+    schema,
+)
 from asterwharf.wire.frame import LEN, Cutter, frame
 from asterwharf.wire.schema import Alien, pack, unpack
 
@@ -13,8 +15,12 @@
 @pytest.fixture
 def grown():
     """A kind that has grown a field, a list and a nested field since its first release."""
-    schema.kind(9001, 'grown', {'a': 's', 'rows': [{'x': 'l'}]},
-                {'a': 's', 'rows': [{'x': 'l', 'y': 's'}], 'more': 'S', 'doc': 'j', 'on': 'b'})
+    schema.kind(
+        9001,
+        'grown',
+        {'a': 's', 'rows': [{'x': 'l'}]},
+        {'a': 's', 'rows': [{'x': 'l', 'y': 's'}], 'more': 'S', 'doc': 'j', 'on': 'b'},
+    )
     yield
     del schema.KINDS['grown'], schema.IDS[9001]
 
@@ -47,8 +53,16 @@
     assert [d for _, d in got] == docs
 
 
-@pytest.mark.parametrize('raw', [b'GET / HTTP/1.1\r\n\r\n', LEN.pack(3) + b'abc', LEN.pack(5) + b'\x00\x0bZZZ',
-                                 LEN.pack(1 << 31), LEN.pack(4) + b'\x00\x0b\x01\xff'])
+@pytest.mark.parametrize(
+    'raw',
+    [
+        b'GET / HTTP/1.1\r\n\r\n',
+        LEN.pack(3) + b'abc',
+        LEN.pack(5) + b'\x00\x0bZZZ',
+        LEN.pack(1 << 31),
+        LEN.pack(4) + b'\x00\x0b\x01\xff',
+    ],
+)
 def test_foreign_streams_are_alien(raw):
     with pytest.raises(Alien):
         Cutter().feed(raw)
@@ -57,8 +71,12 @@
 def test_noise_never_gets_through_as_a_fault_of_ours():
     r = random.Random(7)
     for _ in range(3000):
-        raw = bytearray(frame('extend', {'grp': 'core', 'view': 3, 'entries': [
-            {'op': 1, 'view': 1, 'kind': 'change', 'body': b'abc'}]}))
+        raw = bytearray(
+            frame(
+                'extend',
+                {'grp': 'core', 'view': 3, 'entries': [{'op': 1, 'view': 1, 'kind': 'change', 'body': b'abc'}]},
+            )
+        )
         for _ in range(r.randint(1, 4)):
             raw[r.randrange(4, len(raw))] = r.randrange(256)
         try:
--- a/tests/test_yard.py
+++ b/tests/test_yard.py
@@ -227,4 +227,4 @@
     assert set(new.ready) == set(y.y.ready) and set(new.timed) == set(y.y.timed)
     # and what is forgotten leaves no row
     y.do('y_forget', ids=['c' * 16])
-    assert y.y.delta() == {f"job:{'c' * 16}": None}
+    assert y.y.delta() == {f'job:{"c" * 16}': None}
--- a/tests/test_yard_days.py
+++ b/tests/test_yard_days.py
@@ -9,9 +9,13 @@
 from asterwharf.sim import yard_days
 
 SHORT = {'length': 11000, 'load': 0.5}
-DAYS = [('open', 3, ['srv_crash', 'node_kill'], 'kill_all'), ('open', 4, ['replace_core', 'srv_cut'], ''),
-        ('guarded', 5, ['core_cut', 'scale_in'], ''), ('guarded', 6, ['roll_term', 'srv_hang'], ''),
-        ('open', 7, ['after_ack_wipe', 'evacuate'], 'power_off_all')]
+DAYS = [
+    ('open', 3, ['srv_crash', 'node_kill'], 'kill_all'),
+    ('open', 4, ['replace_core', 'srv_cut'], ''),
+    ('guarded', 5, ['core_cut', 'scale_in'], ''),
+    ('guarded', 6, ['roll_term', 'srv_hang'], ''),
+    ('open', 7, ['after_ack_wipe', 'evacuate'], 'power_off_all'),
+]
 
 
 @pytest.mark.parametrize(('site', 'seed', 'faults', 'closing'), DAYS)
@@ -32,6 +36,14 @@
 
 
 def test_a_day_replays_from_its_seed_in_any_process():
-    outs = {subprocess.run([sys.executable, '-c', CODE], env=dict(os.environ, PYTHONHASHSEED=h), check=True,
-                           capture_output=True, text=True).stdout for h in ('1', '2')}
+    outs = {
+        subprocess.run(
+            [sys.executable, '-c', CODE],
+            env=dict(os.environ, PYTHONHASHSEED=h),
+            check=True,
+            capture_output=True,
+            text=True,
+        ).stdout
+        for h in ('1', '2')
+    }
     assert len(outs) == 1 and 'starts' in outs.pop()
--- a/tests/test_yard_judge.py
+++ b/tests/test_yard_judge.py
@@ -1,8 +1,7 @@
 """The observer of days must cry at each broken rule, and at its neighbour that is in order it must not."""
 
 import pytest
-
-from yard_desk import A, B, QUEUE, Story
+from yard_desk import QUEUE, A, B, Story
 
 
 def twice_at_once(s, bad):
@@ -287,14 +286,43 @@
     v.read({'number': 5, 'queues': [], 'limits': 1} if bad else dict(x.doc), s.w.t)
 
 
-CASES = [('TWICE', twice_at_once), ('TWICE', twice_after_done), ('TWICE', twice_of_a_gang), ('TWICE', twice_copies), ('TWICE', twice_finished),
-         ('ORDER', order_before_step), ('ORDER', order_before_time), ('LIMIT', limit), ('ROUTE', route_service), ('ROUTE', route_label),
-         ('ROUTE', route_apart), ('BUDGET', budget), ('BUDGET', budget_of_a_gang), ('GANG', gang_alone), ('UNASKED', unasked_job),
-         ('UNASKED', unasked_payload), ('UNASKED', unasked_checkpoint), ('UNASKED', unasked_cancelled), ('UNASKED', unasked_runs_on),
-         ('REFUSED', refused), ('DRAIN', drain), ('EVAC', evac), ('MIXED', mixed), ('LOST', lost_unknown), ('LOST', lost_failed),
-         ('LOST', lost_cancelled), ('LOST', lost_idle), ('CONFIG', config_old), ('CONFIG', config_back), ('CONFIG', config_invalid_in_force),
-         ('CONFIG', config_refused_in_force), ('CONFIG', config_bad_acked), ('CONFIG', config_both), ('CONFIG', config_read_old),
-         ('CONFIG', config_read_other)]
+CASES = [
+    ('TWICE', twice_at_once),
+    ('TWICE', twice_after_done),
+    ('TWICE', twice_of_a_gang),
+    ('TWICE', twice_copies),
+    ('TWICE', twice_finished),
+    ('ORDER', order_before_step),
+    ('ORDER', order_before_time),
+    ('LIMIT', limit),
+    ('ROUTE', route_service),
+    ('ROUTE', route_label),
+    ('ROUTE', route_apart),
+    ('BUDGET', budget),
+    ('BUDGET', budget_of_a_gang),
+    ('GANG', gang_alone),
+    ('UNASKED', unasked_job),
+    ('UNASKED', unasked_payload),
+    ('UNASKED', unasked_checkpoint),
+    ('UNASKED', unasked_cancelled),
+    ('UNASKED', unasked_runs_on),
+    ('REFUSED', refused),
+    ('DRAIN', drain),
+    ('EVAC', evac),
+    ('MIXED', mixed),
+    ('LOST', lost_unknown),
+    ('LOST', lost_failed),
+    ('LOST', lost_cancelled),
+    ('LOST', lost_idle),
+    ('CONFIG', config_old),
+    ('CONFIG', config_back),
+    ('CONFIG', config_invalid_in_force),
+    ('CONFIG', config_refused_in_force),
+    ('CONFIG', config_bad_acked),
+    ('CONFIG', config_both),
+    ('CONFIG', config_read_old),
+    ('CONFIG', config_read_other),
+]
 
 
 @pytest.mark.parametrize(('rule', 'case'), CASES, ids=lambda c: getattr(c, '__name__', c))
--- a/tests/test_yard_minion.py
+++ b/tests/test_yard_minion.py
@@ -1,10 +1,10 @@
 """The stand-in minion, line by line of the users' page."""
 
 import pytest
+from yard_desk import A, B, Desk
 
 from asterwharf.sim.yard_fleet import YardFleet
 from asterwharf.sim.yard_sites import OPEN
-from yard_desk import A, B, Desk
 
 
 @pytest.fixture
--- a/tests/yard_cell.py
+++ b/tests/yard_cell.py
@@ -9,8 +9,14 @@
 from asterwharf.sim.hosts import Disk
 from asterwharf.wire import kinds  # noqa: F401
 
-QUEUES = {'number': 1, 'queues': [{'name': 'q', 'host': 'a', 'prefix': '/q/', 'group': 'g', 'priority': 1},
-                                  {'name': 'quick', 'host': 'a', 'prefix': '/quick/', 'group': 'g'}], 'groups': [{'name': 'g'}]}
+QUEUES = {
+    'number': 1,
+    'queues': [
+        {'name': 'q', 'host': 'a', 'prefix': '/q/', 'group': 'g', 'priority': 1},
+        {'name': 'quick', 'host': 'a', 'prefix': '/quick/', 'group': 'g'},
+    ],
+    'groups': [{'name': 'g'}],
+}
 A, B, C = (c * 16 for c in 'abc')
 
 
@@ -18,8 +24,17 @@
     """Time goes on by `go`; a minion beats every time it does, unless it is `mute`."""
 
     def __init__(self, doc=None, **st):
-        self.st = Settings(name='t0', bind='10.0.0.1:1', seeds=['10.0.0.1:1'], core_size=1, founders=['10.0.0.1:1'], data='x',
-                           calls='10.0.0.1:2', view=View(silence_ms=700), **st)
+        self.st = Settings(
+            name='t0',
+            bind='10.0.0.1:1',
+            seeds=['10.0.0.1:1'],
+            core_size=1,
+            founders=['10.0.0.1:1'],
+            data='x',
+            calls='10.0.0.1:2',
+            view=View(silence_ms=700),
+            **st,
+        )
         self.now, self.disk, self.minions, self.mute, self.n = 1000, Disk(1), {}, set(), 0
         self.build()
         assert self.until(lambda: self.cell.takes and self.core.takes)
@@ -31,7 +46,12 @@
         self.node = orchard.control(self.st, self.disk.inc, random.Random(1), self.disk.load, self.now, self.wall)
         self.b = self.node.b
         self.plot = self.b.cells['commons']
-        self.cell, self.core, self.tender, self.placer = self.plot.chair, self.node.ctl[0], self.plot.tender, self.plot.placer
+        self.cell, self.core, self.tender, self.placer = (
+            self.plot.chair,
+            self.node.ctl[0],
+            self.plot.tender,
+            self.plot.placer,
+        )
         self.gate, self.ferry = (next(c for c in self.node.ctl if type(c).__name__ == k) for k in ('Gate', 'Ferry'))
 
     @property
@@ -110,8 +130,25 @@
     """Runs what it is told until the test ends it; `rates`: percent of progress a second, by task, else 5."""
 
     def __init__(self, mid, rack, kind, cpu, gpus, zone, group):
-        self.mid, self.count, self.runs, self.ended, self.n, self.wait, self.rates, self.begun = mid, 0, {}, [], 0, 0, {}, {}
-        self.fix = {'group': group, 'zone': zone, 'labels': [kind, rack], 'cpu': cpu, 'mem': 8000, 'gpus': gpus, 'state': 'ready'}
+        self.mid, self.count, self.runs, self.ended, self.n, self.wait, self.rates, self.begun = (
+            mid,
+            0,
+            {},
+            [],
+            0,
+            0,
+            {},
+            {},
+        )
+        self.fix = {
+            'group': group,
+            'zone': zone,
+            'labels': [kind, rack],
+            'cpu': cpu,
+            'mem': 8000,
+            'gpus': gpus,
+            'state': 'ready',
+        }
 
     def beat(self, c):
         if self.mid in c.mute or c.now < self.wait:
@@ -126,7 +163,14 @@
             if code == 'ok' and body:
                 self.wait = c.now + 100
                 self.told(body, c.now)
-        c.tender.beat(self.mid, dict(self.fix, count=self.count, running=[[k, *r] for k, r in self.runs.items()], finished=list(self.ended)), give)
+
+        c.tender.beat(
+            self.mid,
+            dict(
+                self.fix, count=self.count, running=[[k, *r] for k, r in self.runs.items()], finished=list(self.ended)
+            ),
+            give,
+        )
 
     def told(self, body, now):
         self.ended = [e for e in self.ended if e[0] > body['seen']]
@@ -142,4 +186,6 @@
 
 
 def compiled(doc):
-    return queues.Queues(queues.row({'number': doc['number'], 'by': '', 'at': 0, 'doc': queues.squeeze(json.dumps(doc))}))
+    return queues.Queues(
+        queues.row({'number': doc['number'], 'by': '', 'at': 0, 'doc': queues.squeeze(json.dumps(doc))})
+    )
--- a/tests/yard_desk.py
+++ b/tests/yard_desk.py
@@ -64,6 +64,7 @@
 
             def leave(self, mid, give):
                 box.update(mid=mid, doc=None)
+
         Node.ctl = (Tender(),)
         act(Node, None)
         self.calls.append(box)
