Count an emptied zone as free room before room is kept for a gang

Ruled out: distrust of minions, strays that take their room, a decision under way (all shown clear by a dump of the leader at that moment). Change: the share in use counts every connected minion of the service; work started before waits half as long for its rack. Both tests were seen failing without the change.

--- a/asterwharf/orchard/rooms.py
+++ b/asterwharf/orchard/rooms.py
@@ -1,10 +1,14 @@
 """The room that minions have while a decision is made, and which of it a step may take. Pure."""
 
+from asterwharf.orchard.tender import REGISTERED, REGISTERING
+
 # of the silence bound: the longest that work waits for the rack that suits it, and how long a step that needs
 # much room at once has waited until room is kept for it
 PATIENCE, KEEP = 2.5, 0.5
 # of a group's room in use: below that nobody is starved, and room kept for one only holds up others
 FULL = 0.6
+# what a minion without runs uses of its processor, memory and GPUs
+NOTHING = (0, 0, 0)
 
 
 class Room:
@@ -61,8 +65,12 @@
         return self.b.set.view.silence_ms * PATIENCE
 
     def _worth(self, s):
-        """How long it may pay to wait for the rack that suits: going elsewhere takes so much longer."""
-        return min(self.patience, s.estimate * (self.b.set.call.far_factor - 1))
+        """How long it may pay to wait for the rack that suits, ms: going elsewhere takes so much longer.
+
+        Work that was started before has stood still already while its run was given up: it waits half as long.
+        """
+        most = self.patience / 2 if any(t.top for t in s.tasks) else self.patience
+        return min(most, s.estimate * (self.b.set.call.far_factor - 1))
 
     def _held(self, s, rack, want):
         """Whether a rack could hold so many tasks of this step if it were empty."""
@@ -141,10 +149,21 @@
                 r.kept = True
 
     def _use(self, group):
-        """How much of a group's room is in use, by what is scarcest."""
-        got = [(r.link.room, (r.cpu, r.mem, r.gpus)) for r in self.by.get(group, ())]
-        has = [sum(a[i] for a, _ in got) for i in range(3)]
-        return max([1 - sum(f[i] for _, f in got) / has[i] for i in range(3) if has[i]] or [1.0])
+        """The share of a service's room that is in use, by what is scarcest.
+
+        Minions that may be given nothing now (an emptied zone, a drain) count as room too: without them a service that
+        is half idle looks full, and what is kept for one gang holds everybody else up.
+        """
+        free = {room.mid: (room.cpu, room.mem, room.gpus) for room in self.by.get(group, ())}
+        total, used = [0, 0, 0], [0, 0, 0]
+        for mid, link in self.p.tender.links.items():
+            if link.group != group or link.state not in (REGISTERED, REGISTERING):
+                continue
+            taken = self.p.mac.used.get(mid, NOTHING)
+            for i, size in enumerate(link.room):
+                total[i] += size
+                used[i] += size - free[mid][i] if mid in free else taken[i]
+        return max([used[i] / total[i] for i in range(3) if total[i]] or [1.0])
 
     def _target(self, s, rooms):
         """The minions to leave to it: where it comes in soonest by what is free now."""
--- a/tests/test_orchard_moves.py
+++ b/tests/test_orchard_moves.py
@@ -147,6 +147,37 @@
     assert len(where(c, C)) == 3
 
 
+def test_an_emptied_zone_counts_as_room_that_is_free():
+    c = Cell(QUEUES)
+    for mid, rack, zone in (('m1', 'r1', 'z1'), ('m2', 'r1', 'z1'), ('m3', 'r2', 'z2'), ('m4', 'r2', 'z2')):
+        c.minion(mid, rack=rack, zone=zone)
+    assert c.ask('zone_set', grp='core', zone='z2', emptied=True)[0] == 'ok'
+    c.submit(A, steps=[{'count': 2, 'cpu': 2500, **LONG}])
+    c.go(300)
+    # 0.62 of the open zone is in use, but 0.31 of the service
+    c.submit(B, steps=[{'count': 2, 'cpu': 4000, 'together': True, 'one_rack': True, **LONG}])
+    c.go(1500)
+    assert not count(c, 'room.kept')
+    c.submit(C, steps=[{'count': 1, 'cpu': 1000, **LONG}])
+    c.go(500)
+    assert len(where(c, C)) == 1
+
+
+def test_work_that_was_started_before_waits_half_as_long_for_its_rack():
+    c = Cell(QUEUES)
+    c.minion('m1', rack='r1')
+    c.submit(A, steps=[{'count': 1, 'cpu': 4000, 'near': 'r1', **LONG}])
+    c.go(300)
+    [(task, mid)] = where(c, A).items()
+    c.submit(B, queue='quick', steps=[{'count': 1, 'cpu': 4000, **LONG}])
+    c.minions['m1'].end(task, 'failed')
+    c.until(lambda: where(c, B))
+    c.minion('m2', rack='r2')
+    # never started before, it would wait for 1,750 ms
+    c.go(1000)
+    assert (mid, where(c, A)) == ('m1', {task: 'm2'})
+
+
 def test_a_gang_that_its_datas_rack_cannot_take_goes_elsewhere():
     c = Cell(QUEUES)
     for m, rack in (('m1', 'r1'), ('m2', 'r2'), ('m3', 'r2')):
