Split the link state of a minion from the heartbeat controller

One module kept both the record of a minion's link (state machine, runs, progress) and the controller that answers beats. The record is now orchard/minion_link.py; nothing else changed.

--- a/asterwharf/orchard/tender.py
+++ b/asterwharf/orchard/tender.py
@@ -7,10 +7,7 @@
 import heapq
 
 from asterwharf.base.board import Controller
-
-DISCONNECTED, REGISTERING, REGISTERED, RECOVERING, CLOSED = 'disconnected', 'registering', 'registered', 'recovering', 'closed'
-STEPS = {DISCONNECTED: {REGISTERING, CLOSED, RECOVERING}, REGISTERING: {REGISTERED, RECOVERING, CLOSED},
-         REGISTERED: {RECOVERING, CLOSED}, RECOVERING: {REGISTERING, DISCONNECTED, CLOSED}, CLOSED: set()}
+from asterwharf.orchard.minion_link import CLOSED, DISCONNECTED, RECOVERING, REGISTERED, REGISTERING, Link
 
 # a minion's clock may be slow by this much
 DRIFT = 0.98
@@ -20,8 +17,6 @@
 BEATS = 1500
 # ms: how long before a run's likely end its minion is answered, so that it can tell of it; the least between two beats
 AHEAD, LEAST = 40, 20
-# percent of progress from where a run's end can be foretold
-SEEN = 4
 # of the time between beats: silence after which a minion gets no starts, after which starts it was never told are
 # taken back, and after which its runs recover
 FRESH, OVERDUE, SILENT = 0.4, 0.5, 2.0
@@ -29,53 +24,6 @@
 LEASE = 0.8
 
 
-class Link:
-    """What the holder knows of one minion beyond what is delivered."""
-
-    __slots__ = ('answered', 'bound', 'count', 'doc', 'drain', 'due', 'ended', 'gave', 'give', 'group', 'held', 'kind', 'labels', 'lapse',
-                 'leaves', 'mid', 'noted', 'noting', 'old', 'past', 'prog', 'rack', 'recv', 'room', 'running', 'state', 'timers', 'zone')
-
-    def __init__(self, mid, now):
-        self.mid, self.state, self.doc, self.recv, self.answered, self.count = mid, DISCONNECTED, None, now, now, -1
-        self.give, self.due, self.lapse, self.noted, self.noting = None, 0, 0, 0, 0
-        # held: what it runs or was told to since; gave: runs given up in a change that may not be delivered yet
-        self.running, self.ended, self.timers, self.held, self.gave = {}, {}, {}, {}, {}
-        self.drain, self.leaves, self.group, self.zone, self.labels, self.rack, self.kind = 0, 0, '', '', (), '', ''
-        self.room, self.prog, self.past = (0, 0, 0), {}, {}
-        # old: runs on record when this view began; an earlier holder may have told them after the beat that we hear,
-        # for a beat may have lain in a cut connection: until `bound` only a listing or an end settles them
-        self.old, self.bound = {}, 0
-
-    def progress(self, now):
-        """Follows how far each run has come, as (first seen, percent then, last step seen, percent then, run)."""
-        self.past = {k: p for k, p in self.prog.items() if k not in self.running}
-        for k, (run, _, pct) in self.running.items():
-            p = self.prog.get(k)
-            if p is None or p[4] != run:
-                self.prog[k] = (now, pct, now, pct, run)
-            elif pct != p[3]:
-                self.prog[k] = (p[0], p[1], now, pct, run)
-        for k in self.past:
-            del self.prog[k]
-
-    def soonest(self, now):
-        """In how many ms the next of its runs is likely to end, or None where that can't be told."""
-        out = None
-        for t0, p0, t1, p1, _ in self.prog.values():
-            if p1 - p0 >= SEEN:
-                left = (t1 - t0) / (p1 - p0) * (100 - p1) - (now - t1)
-                out = left if out is None or left < out else out
-            else:
-                return None
-        return out
-
-    def turn(self, new):
-        """The one function for every change of a link's state."""
-        if new != self.state and new not in STEPS[self.state]:
-            raise AssertionError(f'link {self.mid}: {self.state} -> {new}')
-        self.state = new
-
-
 class Tender(Controller):
     """Lives on every seat; acts only where the seat holds."""
 
@@ -214,6 +162,7 @@
                 return
             l.noted = max(l.noted, top)
             self.look.add(l.mid)
+
         items = [{'task': f[1], 'run': f[2], 'how': f[3], 'save': f[4]} for f in new]
         if not self.cell.order('y_end', {'at': self.cell.wall, 'mid': l.mid, 'items': items}, then):
             return False
@@ -267,8 +216,18 @@
         l.lapse = max(l.lapse, l.recv + int(self.hold_ms / DRIFT) + 1)
         self.b.count['starts'] += len(start)
         l.held.update((r[0], r[1]) for r in start)
-        give('ok', {'hold_ms': self.hold_ms, 'seen': l.noted, 'fence': self.term, 'start': start, 'stop': stop,
-                    'again_ms': max(LEAST, 1000 * len(self.links) // BEATS // 2) if not l.drain else 100, 'address': self.b.hello()['calls']})
+        give(
+            'ok',
+            {
+                'hold_ms': self.hold_ms,
+                'seen': l.noted,
+                'fence': self.term,
+                'start': start,
+                'stop': stop,
+                'again_ms': max(LEAST, 1000 * len(self.links) // BEATS // 2) if not l.drain else 100,
+                'address': self.b.hello()['calls'],
+            },
+        )
 
     def flush(self):
         mac = self.mac
@@ -331,8 +290,11 @@
     def _untold(self, l):
         """Takes back what was placed on a minion that has not called since: no answer ever told it, so it began nowhere."""
         mac = self.mac
-        items = [{'task': k, 'run': mac.run_of(t, l.mid), 'mid': l.mid, 'how': 'never', 'save': ''}
-                 for k, t in mac.on.get(l.mid, {}).items() if not any(k in x for x in (l.held, l.ended, l.gave, l.old))]
+        items = [
+            {'task': k, 'run': mac.run_of(t, l.mid), 'mid': l.mid, 'how': 'never', 'save': ''}
+            for k, t in mac.on.get(l.mid, {}).items()
+            if not any(k in x for x in (l.held, l.ended, l.gave, l.old))
+        ]
         if items and self.cell.order('y_lapse', {'at': self.cell.wall, 'items': items}):
             l.gave.update((i['task'], i['run']) for i in items)
             self.b.count['untold'] += len(items)
@@ -360,8 +322,16 @@
         over = {k: r for k, (r, at) in l.timers.items() if self.b.now >= at}
         if not over:
             return
-        items = [{'task': k, 'run': r, 'mid': l.mid, 'how': 'lapsed', 'save': l.running.get(k, (0, ''))[1] if
-                  l.running.get(k, (0,))[0] == r else ''} for k, r in over.items()]
+        items = [
+            {
+                'task': k,
+                'run': r,
+                'mid': l.mid,
+                'how': 'lapsed',
+                'save': l.running.get(k, (0, ''))[1] if l.running.get(k, (0,))[0] == r else '',
+            }
+            for k, r in over.items()
+        ]
         if self.cell.order('y_lapse', {'at': self.cell.wall, 'items': items}):
             self.b.count['lapsed'] += len(items)
             l.gave.update((i['task'], i['run']) for i in items)
--- a/asterwharf/orchard/views.py
+++ b/asterwharf/orchard/views.py
@@ -6,9 +6,9 @@
 import heapq
 from collections import Counter
 
+from asterwharf.orchard.minion_link import REGISTERED, REGISTERING
 from asterwharf.orchard.model import NAMES, READY, RUN, WAIT
 from asterwharf.orchard.rooms import Rooms
-from asterwharf.orchard.tender import REGISTERED, REGISTERING
 
 # things looked at in one slice; rows of a listing, unless more are asked for; runs shown of one job
 SLICE, ROWS, RUNS = 2000, 200, 200
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -21,8 +21,9 @@
 sys.path.insert(0, str(Path(__file__).parent))
 from rig import GROUP, ROOT, WALL, Rig  # noqa: E402
 
+from asterwharf.orchard.minion_link import REGISTERED, Link  # noqa: E402
 from asterwharf.orchard.model import Job, Step, Task  # noqa: E402
-from asterwharf.orchard.tender import REGISTERED, Link, Tender  # noqa: E402
+from asterwharf.orchard.tender import Tender  # noqa: E402
 from asterwharf.orchard.yard import Yard  # noqa: E402
 from asterwharf.view.chair import chairs, leave  # noqa: E402
 from asterwharf.wire.schema import pack  # noqa: E402
