Split the rows of a cell from its state machine

cell.py held both the changes of a cell and how its rows are kept and read. The rows are now scheduler/cell_rows.py, which cell.py and handover.py import: the one import circle (handover took pack_job from cell inside a function) is gone.

--- a/asterwharf/scheduler/cell.py
+++ b/asterwharf/scheduler/cell.py
@@ -1,8 +1,8 @@
 """The state machine of a cell: jobs, claims and minions, changed only by delivered changes. Pure."""
 
-import hashlib
 from collections import deque
 
+from asterwharf.scheduler.cell_rows import CellRows, shard
 from asterwharf.scheduler.claims import Claims
 from asterwharf.scheduler.handover import MARKS, Handover
 from asterwharf.scheduler.model import (
@@ -19,109 +19,43 @@
     STEPS,
     STOPPING,
     WAITING,
-    Job,
-    Minion,
-    Task,
     build,
 )
-from asterwharf.wire.schema import PROTO, speaks, unpack
-from asterwharf.wire.schema import pack as _pack
+from asterwharf.wire.schema import PROTO, unpack
 
-SHARDS, HIST = 64, 8
+# lines kept of what became of a task's earlier runs
+HIST = 8
 
 
-def shard(key):
-    h = hashlib.sha256(key.encode()).hexdigest()[:16]
-    return int(h[:4], 16) % SHARDS, h
-
-
-def pack_job(j, seq):
-    return _pack('r_job', j.dump() | {'tasks': [t.dump() for t in j.tasks.values()]}, seq)
-
-
-class Cell(Claims, Handover):
+class Cell(CellRows, Claims, Handover):
     """Applies changes in the group's one order; the same on every seat."""
 
-    __slots__ = ('by', 'dirty', 'emptied', 'floor', 'gone', 'jobs', 'leaving', 'minions', 'open', 'owned', 'parcels',
-                 'reads', 'seen', 'sequence', 'tasks', 'turned', 'use', 'yielded')
+    __slots__ = (
+        'by',
+        'dirty',
+        'emptied',
+        'floor',
+        'gone',
+        'jobs',
+        'leaving',
+        'minions',
+        'open',
+        'owned',
+        'parcels',
+        'reads',
+        'seen',
+        'sequence',
+        'tasks',
+        'turned',
+        'use',
+        'yielded',
+    )
 
     def __init__(self):
         # the latest outcomes, for the holder's judgement of its minions; on siblings they only roll over
         self.seen, self.reads, self.floor = deque(maxlen=500), PROTO, PROTO
         self.load({})
 
-    # --- rows on disk
-    def load(self, rows):
-        self.jobs, self.minions, self.tasks, self.open = {}, {}, {}, {}
-        self.by = {s: {} for s in STEPS}
-        self.sequence, self.emptied, self.gone, self.dirty = 0, frozenset(), {}, set()
-        self.leaving, self.yielded, self.owned, self.parcels = {}, {}, {}, {}
-        # for the holder's placer, not kept: what has turned ready, and each tenant's cores in use
-        self.turned, self.use = [], {}
-        for k, raw in rows.items():
-            self._row(k, unpack(raw, self.reads)[1])
-        for t in list(self.tasks.values()):
-            if t.state in BUSY and t.minion in self.minions:
-                self.minions[t.minion].load[t.key] = t.need
-
-    def _row(self, k, d):
-        knd, _, nam = k.partition(':')
-        if knd == 'meta':
-            self.sequence, self.emptied = d['sequence'], frozenset(d['emptied'])
-            self.leaving, self.yielded, self.owned = (d[k] or {} for k in ('leaving', 'yielded', 'owned'))
-        elif knd == 'parcel':
-            self.parcels[nam] = d
-        elif knd == 'gone':
-            self.gone[int(nam)] = d['gone']
-        elif knd == 'minion':
-            sts = d.pop('strays')
-            m = self.minions[nam] = Minion(**d)
-            m.strays = {f"{r['task']}#{r['round']}": (r['cores'], r['gpus'], r['mem']) for r in sts}
-        else:
-            tks = {x['name']: Task(**x) for x in d.pop('tasks')}
-            self._keep(Job(**d, tasks=tks).bind())
-
-    def _keep(self, j):
-        self.jobs[j.key] = j
-        for t in j.tasks.values():
-            self.tasks[t.key] = t
-            self.by[t.state][t.key] = t
-            if t.state == READY:
-                self.turned.append(t.key)
-            elif t.state in BUSY:
-                self._used(t, t.cores)
-        if not j.over:
-            self.open[j.tenant] = self.open.get(j.tenant, 0) + 1
-
-    def delta(self):
-        """Rows changed since the last call; None where a row is no more."""
-        out = {k: self._raw(k) for k in sorted(self.dirty)}
-        self.dirty = set()
-        return out
-
-    def _raw(self, k):
-        knd, _, nam = k.partition(':')
-
-        def pack(rec, doc):
-            return _pack(rec, doc, speaks(rec, self.floor))
-        if knd == 'meta':
-            return pack('r_meta', {'sequence': self.sequence, 'emptied': sorted(self.emptied), 'leaving': self.leaving,
-                                   'yielded': self.yielded, 'owned': self.owned})
-        if knd == 'parcel':
-            return pack('r_parcel', self.parcels[nam]) if nam in self.parcels else None
-        if knd == 'gone':
-            return pack('r_meta', {'gone': self.gone[int(nam)]})
-        if knd == 'minion':
-            m = self.minions.get(nam)
-            if m is None:
-                return None
-            d = m.dump()
-            d['strays'] = [{'task': k.rpartition('#')[0], 'round': int(k.rpartition('#')[2]), 'cores': float(c),
-                            'gpus': g, 'mem': x} for k, (c, g, x) in m.strays.items()]
-            return pack('r_minion', d)
-        j = self.jobs.get(nam)
-        return None if j is None else pack_job(j, speaks('r_job', self.floor))
-
     # --- changes
     def apply(self, op, raw):
         knd, d = unpack(raw, self.reads)
@@ -161,7 +95,7 @@
         # the tenant may have been released between the clerk's look and this delivery
         if self.away(d['tenant']):
             return 'moving'
-        key = f"{d['tenant']}/{d['id']}"
+        key = f'{d["tenant"]}/{d["id"]}'
         j = self.jobs.get(key)
         if j is not None:
             return 'same' if j.sum == d['sum'] else 'other_body'
@@ -176,7 +110,7 @@
         return h in self.gone.get(n, ())
 
     def t_cancel(self, d):
-        j = self.jobs.get(f"{d['tenant']}/{d['id']}")
+        j = self.jobs.get(f'{d["tenant"]}/{d["id"]}')
         if j is None:
             return 'moving' if self.away(d['tenant']) else 'unknown_job'
         if j.over:
--- a/asterwharf/scheduler/handover.py
+++ b/asterwharf/scheduler/handover.py
@@ -1,5 +1,6 @@
 """How a cell lets tenants and minions go, and takes them in: two steps, each delivered. Pure."""
 
+from asterwharf.scheduler.cell_rows import pack_job
 from asterwharf.scheduler.model import BUSY, Job, Task
 from asterwharf.wire.schema import pack, unpack
 
@@ -26,8 +27,6 @@
 
     def t_release(self, d):
         """Everything of the tenant goes into a parcel; this cell answers for it no more."""
-        from asterwharf.scheduler.cell import pack_job
-
         ten = d['tenant']
         if self.leaving.get(ten) != d['to'] or self.running(ten) or ten in self.parcels:
             return False
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from asterwharf.scheduler import cell, placer
+from asterwharf.scheduler import model, placer
 from asterwharf.scheduler.cell import Cell
 from asterwharf.scheduler.placer import Placer
 from asterwharf.sim import days, scenarios  # noqa: F401
@@ -194,7 +194,7 @@
 def test_no_success_that_could_be_told_is_run_again_when_the_core_comes_back(broken, monkeypatch):
     if broken:
         # as it was before: the late ending counts for nothing, and nobody waits for it
-        monkeypatch.setattr(cell.Task, 'unheard', property(lambda t: False))
+        monkeypatch.setattr(model.Task, 'unheard', property(lambda t: False))
         monkeypatch.setattr(placer.Placer, '_early', lambda s, t, nam, calm: False)
         monkeypatch.setattr(Placer, '_send', _old_send)
     redone = sum(scenarios.run('core_cut_off', s).fleet.obs.count['redone'] for s in (2, 5, 6, 8, 9, 12))
