Make a store whole and synced before it bears its name, and sync its folder

Cause: the data file was made by lmdb under its own name, and its folder was never synced. After a loss of power a file whose folder was not synced may be lost by itself: a member that had told its incarnation and acknowledged changes came back as an empty one, and where that met a majority the group was gone. A file cut off while it was made could not be opened again, so the process stayed down.

Now the file is made under another name with its incarnation in it, synced, renamed, and its folder and every folder made above it are synced before anything is told. Each start syncs the folder, for a maker that was killed.

--- a/asterwharf/disk/store.py
+++ b/asterwharf/disk/store.py
@@ -6,7 +6,11 @@
 
 import lmdb
 
-META = b'meta'
+from asterwharf.disk import files
+
+META, INCARNATION, NODE = b'meta', b'inc', 'node'
+# the file of the store; the one that becomes it when it is whole
+DATA, MAKING = 'data.mdb', 'data.mdb.new'
 
 
 class Corrupt(Exception):
@@ -20,31 +24,51 @@
 class Store:
     """Keeps every group's meta, log and rows; without a folder it keeps nothing."""
 
-    __slots__ = ('dbs', 'env', 'inc', 'path')
+    __slots__ = ('dbs', 'env', 'inc', 'path', 'room')
 
     def __init__(self, path, disk_mb=4096):
         """`disk_mb`: the most that may lie in the folder, in MiB. Raises Corrupt."""
-        self.path, self.dbs, self.env = path, {}, None
+        self.path, self.dbs, self.env, self.room = path, {}, None, disk_mb << 20
         # no folder: wiped at each restart, by the same path as a lost disk
         if not path:
             self.inc = secrets.token_hex(8)
             return
-        os.makedirs(path, exist_ok=True)
         try:
-            # one process, one thread: the library's locks would only leave another file to lose
-            self.env = lmdb.open(path, max_dbs=512, map_size=disk_mb << 20, lock=False, metasync=True, sync=True)
-            self.inc = self._born()
+            files.make_folder(path)
+            if not os.path.exists(self._file(DATA)):
+                self._create()
+            # an earlier process may have ended before it had synced the name of its file
+            files.sync_folder(path)
+            self.env = self._open(DATA)
+            self.inc = self._incarnation()
         except lmdb.Error as e:
             raise Corrupt(f'{path}: {e}') from None
 
-    def _born(self):
-        db = self._db('node')
-        with self.env.begin(db=db, write=True) as t:
-            v = t.get(b'inc')
-            # the incarnation is synced before it is ever told to anyone
-            if v is None:
-                v = secrets.token_hex(8).encode()
-                t.put(b'inc', v)
+    def _file(self, name):
+        return os.path.join(self.path, name)
+
+    def _open(self, name):
+        # one process, one thread: the library's locks would only leave another file to lose
+        return lmdb.open(
+            self._file(name), subdir=False, max_dbs=512, map_size=self.room, lock=False, metasync=True, sync=True
+        )
+
+    def _create(self):
+        """Makes a store with its incarnation under another name first: one that bears `DATA` is whole and synced."""
+        files.remove(self._file(MAKING))
+        self.env = self._open(MAKING)
+        with self.env.begin(db=self._db(NODE), write=True) as t:
+            t.put(INCARNATION, secrets.token_hex(8).encode())
+        self.env.sync(True)
+        self.env.close()
+        self.env, self.dbs = None, {}
+        files.rename(self._file(MAKING), self._file(DATA))
+
+    def _incarnation(self):
+        with self.env.begin(db=self._db(NODE)) as t:
+            v = t.get(INCARNATION)
+        if v is None:
+            raise Corrupt(f'{self.path}: without an incarnation')
         return v.decode()
 
     def _db(self, nam):
