Sync the page that makes a commit valid by fdatasync, not by O_DSYNC

Cause: lmdb syncs a commit's pages and then writes the page that makes them valid through a descriptor opened with O_DSYNC; no fdatasync follows (seen in a trace of system calls). A disk that promises to keep only what the last fsync or fdatasync covered may lose that page: the newest commit, acknowledged already, is then gone on every member that loses power before its next commit. Whether a disk honours O_DSYNC is not ours to guess.

Cost on a disk that counted O_DSYNC as nothing: one sync more.

--- a/asterwharf/disk/store.py
+++ b/asterwharf/disk/store.py
@@ -48,9 +48,11 @@
         return os.path.join(self.path, name)
 
     def _open(self, name):
-        # one process, one thread: the library's locks would only leave another file to lose
+        # One process, one thread: the library's locks would only leave another file to lose.
+        # lmdb syncs a commit's pages by fdatasync, then writes the page that makes them valid. By itself it trusts
+        # O_DSYNC for that page; we sync the file once more, because a disk may promise no more than fdatasync.
         return lmdb.open(
-            self._file(name), subdir=False, max_dbs=512, map_size=self.room, lock=False, metasync=True, sync=True
+            self._file(name), subdir=False, max_dbs=512, map_size=self.room, lock=False, metasync=False, sync=True
         )
 
     def _create(self):
@@ -106,6 +108,8 @@
         with self.env.begin(write=True) as t:
             for g, b in bts:
                 self._one(t, b, *(dbs[g, k] for k in ('meta', 'log', 'rows')))
+        # from here on the commit lasts, and may be told
+        self.env.sync(True)
 
     def _one(self, t, b, m, l, r):
         if b.wipe:
--- a/tests/test_disk_power.py
+++ b/tests/test_disk_power.py
@@ -4,6 +4,7 @@
 import random
 import shutil
 
+import lmdb
 import pytest
 from power import Folders
 
@@ -89,6 +90,40 @@
     store.close()
 
 
+class Environment:
+    """Stands before lmdb's: notes commits and syncs in their order."""
+
+    def __init__(self, real, done):
+        self.real, self.done = real, done
+
+    def begin(self, *args, **kws):
+        if kws.get('write'):
+            self.done.append('commit')
+        return self.real.begin(*args, **kws)
+
+    def sync(self, force=False):
+        self.real.sync(force)
+        self.done.append('sync' if force else 'maybe')
+
+    def __getattr__(self, name):
+        return getattr(self.real, name)
+
+
+def test_every_write_ends_with_a_sync_of_the_whole_file(tmp_path, monkeypatch):
+    """lmdb's page that makes a commit valid is written last: after its own sync, which does not cover that page."""
+    done, real = [], lmdb.open
+    monkeypatch.setattr(lmdb, 'open', lambda *a, **k: Environment(real(*a, **k), done))
+    store = Store(str(tmp_path / 'd'))
+    assert done[-1] == 'sync'
+    for i in range(1, 4):
+        del done[:]
+        store.write([('g', batch(i, a=b'1')), ('h', batch(i, b=b'2'))])
+        assert done == ['commit', 'sync'], done
+    # the order of both syncs is ours: lmdb syncs the pages, then we the page that makes them valid
+    assert not store.env.flags()['metasync'] and store.env.flags()['sync']
+    store.close()
+
+
 def grown(path, commits):
     """A store with `commits` changes; the file's bytes before the last and after it."""
     store = Store(str(path))
