Make recorded configurations outlast a loss of power with their names

Cause: dulwich renames each object and the reference into place; neither the objects' content nor any folder was synced. After a loss of power a reference could name an object that was gone, and the whole history was begun anew. Now objects are synced, then their folders, then the reference with its folder.

--- a/asterwharf/disk/history.py
+++ b/asterwharf/disk/history.py
@@ -1,7 +1,8 @@
 """Configurations in a Git-like object store, through dulwich: one commit for each sequence.
 
 A convenience for operators; what is in force lives in the core's log. A lost or broken
-store is begun anew and never stops the scheduler.
+store is begun anew and never stops the scheduler. What is recorded outlasts a loss of power: an
+object is synced with its name before anything names it.
 """
 
 import json
@@ -12,6 +13,8 @@
 from dulwich.objects import Blob, Commit, Tree
 from dulwich.repo import Repo
 
+from asterwharf.disk import files
+
 REF, WHO = b'refs/heads/main', b'asterwharf <asterwharf@localhost>'
 
 
@@ -26,11 +29,12 @@
 
     def _open(self):
         try:
-            os.makedirs(self.path, exist_ok=True)
+            files.make_folder(self.path)
             try:
                 self.repo = Repo(self.path)
+                self.repo.object_store.fsync_object_files = True
             except NotGitRepository:
-                self.repo = Repo.init_bare(self.path)
+                self._create()
             # reading the newest commit shows whether the store can be read at all
             next(self._walk(), None)
         except Exception as e:
@@ -40,11 +44,34 @@
         self.say('error', 'alarm', alarm='history_lost', why=f'{type(why).__name__}: {why}')
         try:
             shutil.rmtree(self.path, ignore_errors=True)
-            os.makedirs(self.path, exist_ok=True)
-            self.repo = Repo.init_bare(self.path)
+            files.make_folder(self.path)
+            self._create()
         except Exception:
             self.repo = None
 
+    def _create(self):
+        """Makes an empty store; every file and folder of it lasts when this returns."""
+        self.repo = Repo.init_bare(self.path)
+        self.repo.object_store.fsync_object_files = True
+        for folder, _, names in os.walk(self.path, topdown=False):
+            for name in names:
+                files.sync_file(os.path.join(folder, name))
+            files.sync_folder(folder)
+
+    def _keep(self, obj):
+        """Adds an object; its content and its name last when this returns."""
+        self.repo.object_store.add_object(obj)
+        objects = os.path.join(self.path, 'objects')
+        files.sync_folder(os.path.join(objects, obj.id[:2].decode()))
+        files.sync_folder(objects)
+
+    def _point(self, commit):
+        """Makes a commit the newest one; this lasts when it returns."""
+        self.repo.refs[REF] = commit.id
+        ref = os.path.join(self.path, *REF.decode().split('/'))
+        files.sync_file(ref)
+        files.sync_folder(os.path.dirname(ref))
+
     def _walk(self):
         cid = self.repo.refs.read_ref(REF)
         while cid:
@@ -73,9 +100,9 @@
             c.author_time = c.commit_time = at // 1000
             c.author_timezone = c.commit_timezone = 0
             c.encoding, c.message = b'UTF-8', f'sequence {seq} by {by or "-"}\n'.encode()
-            for o in (blob, tree, c):
-                self.repo.object_store.add_object(o)
-            self.repo.refs[REF] = c.id
+            for obj in (blob, tree, c):
+                self._keep(obj)
+            self._point(c)
         except Exception as e:
             self._begin_anew(e)
 
--- a/tests/test_disk_power.py
+++ b/tests/test_disk_power.py
@@ -9,6 +9,7 @@
 from power import Folders
 
 from asterwharf.disk import store as stores
+from asterwharf.disk.history import History
 from asterwharf.disk.store import Store
 from asterwharf.view.log import Batch
 
@@ -186,3 +187,49 @@
         got.append(opened(tmp_path / f't{n}', raw))
         assert got[-1] in (before, after), end
     assert got[0] == before and got[-1] == after
+
+
+def test_the_history_outlasts_the_loss_of_every_name_that_was_not_synced(tmp_path, monkeypatch):
+    root, said = tmp_path / 'machine', []
+    root.mkdir()
+    folders = Folders(monkeypatch, root, tmp_path / 'shadow')
+    history = History(str(root / 'a' / 'history'), lambda *a, **k: said.append(k))
+    for i in range(1, 4):
+        history.record(i, 'op', i * 1000, {'note': str(i)})
+    kept = history.log(9)
+    folders.lose()
+    history = History(str(root / 'a' / 'history'), lambda *a, **k: said.append(k))
+    assert history.log(9) == kept and [history.show(i) for i in (1, 2, 3)] == [{'note': str(i)} for i in (1, 2, 3)]
+    assert not said
+
+
+def test_of_the_names_of_the_history_any_may_be_kept_or_lost(tmp_path, monkeypatch):
+    """The power goes in the middle of a record: what was recorded before is there, and the next record goes well."""
+    for seed in range(12):
+        rng, said = random.Random(seed), []
+        root = tmp_path / f'machine{seed}'
+        root.mkdir()
+        with monkeypatch.context() as m:
+            folders = Folders(m, root, tmp_path / f'shadow{seed}')
+            history = History(str(root / 'history'), lambda *a, **k: said.append(k))
+            history.record(1, 'op', 1000, {'note': '1'})
+            left = rng.randrange(12)
+            real = os.fsync
+
+            def fsync(fd, real=real):
+                nonlocal left
+                left -= 1
+                if left == 0:
+                    raise KeyboardInterrupt
+                real(fd)
+
+            m.setattr(os, 'fsync', fsync)
+            try:
+                history.record(2, 'op', 2000, {'note': '2'})
+            except KeyboardInterrupt:
+                pass
+            folders.lose(lambda path, rng=rng: rng.random() < 0.5)
+        history = History(str(root / 'history'), lambda *a, **k: said.append(k))
+        assert history.show(1) == {'note': '1'} and not said, (seed, said)
+        history.record(3, 'op', 3000, {'note': '3'})
+        assert history.show(3) == {'note': '3'} and history.show(1) == {'note': '1'} and not said
