--- a/asterwharf/scheduler/clerk.py
+++ b/asterwharf/scheduler/clerk.py
@@ -187,16 +187,17 @@
             self._order(self.core, 'c_queues', doc, give, then)
 
         def then(r):
-            if r['word'] == 'bad':
-                return give('bad_config', {'details': [f"number: {new.ok['number']} is not above {r['number']}"]})
-            give(r['word'], {'number': r['number']})
+            if not r.accepted and not r.stale:
+                return give('bad_config', {'details': [f"number: {new.ok['number']} is not above {r.number}"]})
+            give('ok' if r.accepted else 'stale', {'number': r.number})
         self.b.chore(queues.checking(new.ok, base), done)
 
     def _settled(self, dig, base):
         """(code, body) where the order was accepted before, or its base is not the number in force; else None."""
         mac = self.core.mac
-        if dig in mac.taken:
-            return 'ok', {'number': mac.taken[dig]}
+        number = mac.accepted.number(dig)
+        if number is not None:
+            return 'ok', {'number': number}
         return ('stale', {'number': mac.number}) if base != mac.number else None
 
     def do_zone_set(self, a, give, cell):
--- a/asterwharf/scheduler/core.py
+++ b/asterwharf/scheduler/core.py
@@ -1,19 +1,33 @@
 """The state machine of the core group: the configuration, the queues document, the directory. Pure."""
 
 import json
+from dataclasses import dataclass
 
 from asterwharf.scheduler import queues
+from asterwharf.scheduler.accepted import AcceptedOrders
 from asterwharf.scheduler.atlas import Atlas
 from asterwharf.wire.schema import PROTO, pack, unpack
 
-# accepted queues documents whose orders are remembered, so that a repeated one is answered as the first was
-KEPT = 64
+# the first sequence of the configuration's record: every release reads it, and the row needs no more
+CONFIG_ROW = 1
+
+
+@dataclass(frozen=True, slots=True)
+class OrderResult:
+    """What became of an order: the version that it is, or the one that is current where it was refused.
+
+    `stale`: refused, for it builds on another version; neither: refused, for its number isn't above the current one.
+    """
+
+    number: int
+    accepted: bool = False
+    stale: bool = False
 
 
 class Core:
     """One whole document replaces the last; of rivals on one base, one wins."""
 
-    __slots__ = ('atlas', 'conf', 'dirty', 'floor', 'reads', 'taken')
+    __slots__ = ('accepted', 'atlas', 'conf', 'dirty', 'floor', 'reads')
 
     def __init__(self):
         self.reads = self.floor = PROTO
@@ -21,24 +35,23 @@
 
     def load(self, rows):
         self.conf, self.atlas, self.dirty = {'sequence': 0, 'base': 0, 'by': '', 'at': 0, 'doc': b''}, Atlas(), set()
-        # the sum of an order -> the number that it was accepted under, oldest first
-        self.taken = {}
+        self.accepted = AcceptedOrders()
+        self.accepted.load({k: v for k, v in rows.items() if self.accepted.owns(k)}, self.reads)
         for k, raw in rows.items():
+            if self.accepted.owns(k):
+                continue
             d = unpack(raw, self.reads)[1]
             if k == 'conf':
                 self.conf = d
-            elif k == 'taken':
-                self.taken = {r['sum']: r['number'] for r in d['rows']}
             else:
                 self.atlas.merge([(d['k'], d['op'], d['v'])])
 
     def delta(self):
-        out = {}
+        """Rows changed since the last call; None where a row is no more."""
+        out = self.accepted.changes(self.floor)
         for k in sorted(self.dirty):
             if k == 'conf':
-                out[k] = pack('c_config', self.conf)
-            elif k == 'taken':
-                out[k] = pack('r_taken', {'rows': [{'sum': s, 'number': n} for s, n in self.taken.items()]})
+                out[k] = pack('c_config', self.conf, CONFIG_ROW)
             else:
                 op, v = self.atlas.rows[k]
                 out[k] = pack('r_dir', {'k': k, 'op': op, 'v': v})
@@ -76,22 +89,20 @@
         return {'ok': True, 'sequence': self.sequence}
 
     def c_queues(self, op, d):
-        """A word and the number in force: 'ok' (now or before), 'stale' by its base, 'bad' by its number."""
+        """An order of operators: the OrderResult."""
         # what was accepted stays accepted, whatever came since: its sender may not have heard
-        if d['sum'] in self.taken:
-            return {'word': 'ok', 'number': self.taken[d['sum']]}
-        now = self.number
+        known = self.accepted.number(d['sum'])
+        if known is not None:
+            return OrderResult(known, accepted=True)
+        current = self.number
         # looked at here, in the one order, so rivals can't both win
-        if d['base'] != now:
-            return {'word': 'stale', 'number': now}
-        if d['number'] <= now:
-            return {'word': 'bad', 'number': now}
+        if d['base'] != current:
+            return OrderResult(current, stale=True)
+        if d['number'] <= current:
+            return OrderResult(current)
         self._put(op, 'queues', queues.row(d))
-        self.taken[d['sum']] = d['number']
-        if len(self.taken) > KEPT:
-            del self.taken[next(iter(self.taken))]
-        self.dirty.add('taken')
-        return {'word': 'ok', 'number': d['number']}
+        self.accepted.add(d['sum'], d['number'], op)
+        return OrderResult(d['number'], accepted=True)
 
     def c_zone(self, op, d):
         """Nothing more starts on the minions of an emptied zone, until it is taken back."""
--- a/asterwharf/wire/kinds.py
+++ b/asterwharf/wire/kinds.py
@@ -123,8 +123,10 @@
 kind(103, 'c_own', (2, {'what': 's', 'was': 's', 'cell': 's'}))
 kind(104, 'c_queues', (4, {'number': 'l', 'base': 'l', 'by': 's', 'at': 'l', 'sum': 's', 'doc': 'y'}))
 kind(105, 'c_zone', (4, {'zone': 's', 'emptied': 'b', 'at': 'l'}))
-# a row: the orders of queues documents that were accepted last
+# a row of earlier releases: the orders of queues documents that were accepted last
 kind(106, 'r_taken', (4, {'rows': [{'sum': 's', 'number': 'l'}]}))
+# a row: one accepted order, under its digest; `op`: the log position at which it was accepted
+kind(107, 'r_order', (5, {'number': 'l', 'op': 'l'}))
 # --- changes of a cell group
 kind(120, 't_submit', {'tenant': 's', 'id': 's', 'sum': 's', 'spec': 'j', 'at': 'l'})
 kind(121, 't_cancel', {'tenant': 's', 'id': 's', 'at': 'l'})
--- /dev/null
+++ b/tests/test_accepted_orders.py
@@ -0,0 +1,269 @@
+"""Accepted orders are remembered for days of hundreds of changes, one row each, and are never refused when repeated."""
+
+import json
+
+import pytest
+from test_queues import doc, queue
+from test_queues_fleet import ask, fleet, insist, put, send
+
+from asterwharf.base.settings import View
+from asterwharf.scheduler import queues
+from asterwharf.scheduler.accepted import LEGACY_KEPT, LEGACY_ROW, ORDERS_KEPT, AcceptedOrders
+from asterwharf.scheduler.core import Core
+from asterwharf.wire.schema import PROTO, Alien, pack, unpack
+
+# the last protocol that knows nothing of rows for single orders
+BEFORE = 4
+
+
+def accept(core, op, number, base):
+    return core.apply(
+        op,
+        pack(
+            'c_queues',
+            {
+                'number': number,
+                'base': base,
+                'by': 'op',
+                'at': op,
+                'sum': f's{number}',
+                'doc': queues.squeeze(json.dumps(doc(number, 1))),
+            },
+        ),
+    )
+
+
+def core_with(last, floor=PROTO):
+    core = Core()
+    core.floor = floor
+    for n in range(1, last + 1):
+        assert accept(core, n, n, n - 1).accepted
+    return core
+
+
+# --- the memory alone
+def test_a_day_of_a_thousand_changes_is_remembered_through_its_rows():
+    core = core_with(1000)
+    restarted = Core()
+    restarted.load(core.delta())
+    for c in (core, restarted):
+        for n in (1, 2, 500, 1000):
+            got = accept(c, 2000 + n, n, n - 1)
+            assert got.accepted and got.number == n
+        assert c.number == 1000 and accept(c, 5000, 2000, 7).stale
+
+
+def test_one_change_writes_its_own_row_and_no_other():
+    core = core_with(900)
+    core.delta()
+    for n in range(901, 911):
+        accept(core, n, n, n - 1)
+        rows = core.delta()
+        assert set(rows) == {'queues', f'order:s{n}'} and len(rows[f'order:s{n}']) < 40
+    # a repeat and a refusal write nothing
+    accept(core, 2000, 5, 4)
+    accept(core, 2001, 9999, 4)
+    assert not core.delta()
+
+
+def test_the_oldest_are_dropped_beyond_the_bound_one_by_one():
+    orders = AcceptedOrders()
+    for n in range(ORDERS_KEPT):
+        orders.add(f's{n}', n, n)
+    orders.changes(PROTO)
+    orders.add('new', ORDERS_KEPT, ORDERS_KEPT)
+    rows = orders.changes(PROTO)
+    assert set(rows) == {'order:s0', 'order:new'} and rows['order:s0'] is None
+    assert len(orders) == ORDERS_KEPT and orders.number('s0') is None and orders.number('s1') == 1
+
+
+def test_the_order_of_dropping_survives_the_rows():
+    orders = AcceptedOrders()
+    # digests that sort the other way round than the orders were accepted
+    for n in range(20):
+        orders.add(f's{99 - n}', n + 1, n + 1)
+    again = AcceptedOrders()
+    again.load(dict(sorted(orders.changes(PROTO).items())))
+    assert list(again.digests()) == list(orders.digests())
+
+
+def test_what_was_dropped_before_it_was_ever_written_leaves_no_row():
+    orders = AcceptedOrders()
+    for n in range(ORDERS_KEPT + 5):
+        orders.add(f's{n}', n, n)
+    rows = orders.changes(PROTO)
+    assert all(rows[f'order:s{n}'] is None for n in range(5)) and len(rows) == ORDERS_KEPT + 5
+
+
+# --- releases
+def test_the_row_of_an_earlier_release_is_read_and_replaced_by_single_rows():
+    old = {LEGACY_ROW: pack('r_taken', {'rows': [{'sum': f's{n}', 'number': n} for n in range(5, 1, -1)]})}
+    core = Core()
+    core.load(old)
+    assert accept(core, 10, 3, 1).number == 3
+    rows = core.delta()
+    assert rows[LEGACY_ROW] is None and {k for k in rows if k != LEGACY_ROW} == {f'order:s{n}' for n in (2, 3, 4, 5)}
+    again = Core()
+    again.load({k: v for k, v in rows.items() if v is not None})
+    # the order in which they were accepted is kept too
+    assert list(again.accepted.digests()) == ['s5', 's4', 's3', 's2']
+    assert not again.delta()
+
+
+def test_while_a_replica_of_an_earlier_release_is_there_its_one_row_is_written():
+    core = core_with(LEGACY_KEPT + 20, floor=BEFORE)
+    rows = core.delta()
+    assert set(rows) == {'queues', LEGACY_ROW}
+    assert len(unpack(rows[LEGACY_ROW], BEFORE)[1]['rows']) == LEGACY_KEPT
+    for raw in rows.values():
+        assert unpack(raw, BEFORE)
+    # all know the new rows: what is remembered is written once
+    core.floor = PROTO
+    rows = core.delta()
+    assert rows.pop(LEGACY_ROW) is None and len(rows) == LEGACY_KEPT + 20
+    assert not core.delta()
+    with pytest.raises(Alien):
+        unpack(rows['order:s1'], BEFORE)
+
+
+@pytest.mark.parametrize('old', ['t0', 't1', 't2'])
+def test_a_replica_of_an_earlier_release_takes_part_and_nothing_is_forgotten(old):
+    f = fleet(31, olds={old: BEFORE}, view=View(keep_log=10, chunk=2000))
+    for n in range(1, 26):
+        assert insist(f, 'queues_put', doc=doc(n), base=n - 1)[0] == 'ok'
+    assert insist(f, 'queues_put', doc=doc(3), base=2) == ('ok', {'number': 3})
+    f.w.kill(old)
+    f.protos[old] = PROTO
+    f.w.start(old)
+    assert insist(f, 'queues_put', doc=doc(26), base=25)[0] == 'ok'
+    for n in range(27, 60):
+        assert insist(f, 'queues_put', doc=doc(n), base=n - 1)[0] == 'ok'
+    for n in f.core:
+        f.w.kill(n)
+    for n in f.core:
+        f.w.start(n)
+    for n in (1, 3, 25, 26, 59):
+        assert insist(f, 'queues_put', doc=doc(n), base=n - 1) == ('ok', {'number': n})
+
+
+# --- in a fleet
+def test_every_order_of_a_long_day_is_acknowledged_again():
+    f = fleet(32, view=View(keep_log=40, chunk=4000))
+    for n in range(1, 151):
+        assert put(f, doc(n, 1), n - 1)[0] == 'ok'
+    for n in f.core:
+        f.w.kill(n)
+    for n in f.core:
+        f.w.start(n)
+    for n in range(1, 151, 7):
+        assert insist(f, 'queues_put', doc=doc(n, 1), base=n - 1) == ('ok', {'number': n})
+    # and by a replica that has them from a snapshot
+    lost = f.holder('core')
+    f.w.kill(lost)
+    f.w.wipe(lost)
+    f.w.start(lost)
+    chair = lambda: f.chair(lost, 'core')  # noqa: E731
+    assert f.w.until(lambda: chair() and chair().seat.seated and len(chair().mac.accepted) == 150, 30000)
+    assert insist(f, 'queues_get')[1]['number'] == 150
+
+
+def test_named_changes_are_acknowledged_again_after_newer_versions():
+    f = fleet(33)
+    assert put(f, doc(1), 0)[0] == 'ok'
+    changes = [{'base': n, 'number': n + 1, 'set': {'queues': [queue(90 + n)]}, 'drop': {}} for n in range(1, 4)]
+    for c in changes:
+        assert ask(f, 'queues_change', **c)[0] == 'ok'
+    for c in changes:
+        assert ask(f, 'queues_change', 'e1', **c) == ('ok', {'number': c['number']})
+    # a whole document brings its number back, and is another order than the change with the same outcome
+    whole = ask(f, 'queues_get')[1]['doc']
+    assert put(f, whole, 3)[0] == 'stale'
+
+
+def test_one_number_and_two_contents_on_one_base():
+    f = fleet(36)
+    assert put(f, doc(1), 0)[0] == 'ok'
+    one, two = doc(5, 2), doc(5, 4)
+    got = [send(f, 'queues_put', at, doc=d, base=1) for at, d in (('e0', one), ('e1', two))]
+    assert f.w.until(lambda: all(got), 15000)
+    codes = [g[0][0] for g in got]
+    assert sorted(codes) == ['ok', 'stale']
+    won, lost = (one, two) if codes[0] == 'ok' else (two, one)
+    assert ask(f, 'queues_get')[1]['doc'] == won
+    assert put(f, lost, 1)[0] == 'stale' and put(f, won, 1) == ('ok', {'number': 5})
+    # the same content on another base is another order; its number isn't above that base
+    assert put(f, won, 5)[0] == 'bad_config'
+
+
+def test_a_repeat_in_parallel_with_its_first_copy_is_accepted_once():
+    for seed in range(4):
+        f = fleet(40 + seed)
+        assert put(f, doc(1), 0)[0] == 'ok'
+        got = [send(f, 'queues_put', at, doc=doc(2), base=1) for at in ('e0', 'e1', 't0', 't1', 't2')]
+        assert f.w.until(lambda got=got: all(got), 15000)
+        assert all(g[0] == ('ok', {'number': 2}) for g in got), got
+        assert insist(f, 'queues_put', doc=doc(2), base=1) == ('ok', {'number': 2})
+
+
+def test_an_accepted_order_repeated_while_a_newer_one_is_under_way():
+    f = fleet(45)
+    assert put(f, doc(1), 0)[0] == 'ok'
+    newer, repeat = send(f, 'queues_put', 'e0', doc=doc(2), base=1), send(f, 'queues_put', 'e1', doc=doc(1), base=0)
+    assert f.w.until(lambda: newer and repeat, 15000)
+    assert newer[0][0] == 'ok' and repeat[0] == ('ok', {'number': 1})
+
+
+def test_an_acknowledgement_lost_with_its_leader_is_given_by_the_next():
+    for seed in range(6):
+        f = fleet(50 + seed)
+        assert put(f, doc(1), 0)[0] == 'ok'
+        got = send(f, 'queues_put', 'e0', doc=doc(7), base=1)
+        leader = f.chair(f.holder('core'), 'core')
+        name = f.holder('core')
+        # the entry is committed, and the leader dies before anybody hears of it
+        assert f.w.until(lambda: leader.seat.log.last > leader.seat.upto or got, 3000, 1)
+        f.w.run(f.w.t + seed)
+        f.w.kill(name)
+        assert insist(f, 'queues_put', doc=doc(7), base=1) == ('ok', {'number': 7})
+        assert put(f, doc(8), 7)[0] == 'ok'
+        assert insist(f, 'queues_put', at=('e1', 'e0'), doc=doc(7), base=1) == ('ok', {'number': 7})
+
+
+def test_a_mistake_stays_a_mistake_and_is_accepted_once_mended():
+    f = fleet(60)
+    assert put(f, doc(1), 0)[0] == 'ok'
+    bad = doc(2, queues=[queue(1, group='nobody')])
+    for _ in range(2):
+        assert put(f, bad, 1)[0] == 'bad_config'
+    assert put(f, doc(2), 1)[0] == 'ok'
+    # where it is invalid as well, either answer will do; it is never accepted
+    assert put(f, bad, 1)[0] in ('stale', 'bad_config')
+
+
+def test_large_documents_are_acknowledged_again():
+    f = fleet(61, view=View(chunk=20000))
+    assert put(f, doc(1, 4000), 0)[0] == 'ok' and put(f, doc(2, 4000), 1)[0] == 'ok'
+    assert put(f, doc(1, 4000), 0, 'e1') == ('ok', {'number': 1})
+
+
+def test_eight_orders_at_once_have_one_winner_and_all_end_clearly():
+    f = fleet(62)
+    assert put(f, doc(1), 0)[0] == 'ok'
+    orders = [doc(2 + n % 3, 2 + n) for n in range(8)]
+    got = [send(f, 'queues_put', f'e{n % 2}', doc=d, base=1) for n, d in enumerate(orders)]
+    assert f.w.until(lambda: all(got), 15000)
+    clear = [insist(f, 'queues_put', doc=d, base=1) for d in orders]
+    assert sorted(c for c, _ in clear) == ['ok'] + ['stale'] * 7
+    assert ask(f, 'queues_get')[1]['doc'] == orders[[c for c, _ in clear].index('ok')]
+
+
+def test_evacuations_are_acknowledged_again_also_by_the_next_leader():
+    f = fleet(63)
+    assert ask(f, 'zone_set', zone='z1', emptied=True) == ('ok', {'zone': 'z1', 'emptied': True})
+    since = ask(f, 'emptied')[1]['zones'][0]['since']
+    f.crash(f.holder('core'))
+    for _ in range(2):
+        assert insist(f, 'zone_set', zone='z1', emptied=True) == ('ok', {'zone': 'z1', 'emptied': True})
+    assert insist(f, 'emptied')[1]['zones'] == [{'zone': 'z1', 'since': since}]
+    for _ in range(2):
+        assert insist(f, 'zone_set', zone='z1', emptied=False) == ('ok', {'zone': 'z1', 'emptied': False})
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -10,8 +10,9 @@
 from asterwharf.door.app import Errand
 from asterwharf.door.routes import match
 from asterwharf.scheduler import queues
+from asterwharf.scheduler.accepted import ORDERS_KEPT
 from asterwharf.scheduler.atlas import Atlas
-from asterwharf.scheduler.core import KEPT, Core
+from asterwharf.scheduler.core import Core, OrderResult
 from asterwharf.wire import kinds  # noqa: F401
 from asterwharf.wire.schema import pack
 
@@ -164,19 +165,16 @@
 
 
 def test_the_rows_hold_all_of_it():
-    c = Core()
-    for i in range(1, KEPT + 11):
-        assert order(c, i, i * 2, i * 2 - 2)['word'] == 'ok'
-    top = KEPT * 2 + 20
-    assert order(c, 200, top + 2, top - 2)['word'] == 'stale' and order(c, 201, top, top, 'other') == {
-        'word': 'bad',
-        'number': top,
-    }
-    c.apply(202, pack('c_zone', {'zone': 'z1', 'emptied': True, 'at': 7}))
-    c.apply(203, pack('c_zone', {'zone': 'z2', 'emptied': False, 'at': 8}))
+    c, kept = Core(), ORDERS_KEPT
+    for i in range(1, kept + 11):
+        assert order(c, i, i * 2, i * 2 - 2).accepted
+    top = kept * 2 + 20
+    assert order(c, kept + 20, top + 2, top - 2).stale and order(c, kept + 21, top, top, 'other') == OrderResult(top)
+    c.apply(kept + 22, pack('c_zone', {'zone': 'z1', 'emptied': True, 'at': 7}))
+    c.apply(kept + 23, pack('c_zone', {'zone': 'z2', 'emptied': False, 'at': 8}))
     rows, two = c.delta(), Core()
-    two.load(rows)
-    assert set(rows) == {'queues', 'taken', 'empty:z1'} and not c.delta()
+    two.load({k: v for k, v in rows.items() if v is not None})
+    assert set(rows) == {'queues', 'empty:z1'} | {f'order:s{i * 2}' for i in range(1, kept + 11)} and not c.delta()
     for x in (c, two):
         assert (
             x.number == top
@@ -184,7 +182,7 @@
             and x.atlas.emptied == {'z1'}
         )
         # the last ones are remembered, the first are not
-        assert order(x, 210, 22, 20) == {'word': 'ok', 'number': 22} and order(x, 211, 20, 18)['word'] == 'stale'
+        assert order(x, kept + 30, 22, 20) == OrderResult(22, accepted=True) and order(x, kept + 31, 20, 18).stale
     # a release that knows no such rows reads each as text
     assert all(v.decode() is not None for _, v in c.atlas.rows.values())
 
--- a/tests/test_queues_fleet.py
+++ b/tests/test_queues_fleet.py
@@ -324,7 +324,8 @@
 
 @pytest.mark.parametrize('old', ['t0', 't1', 't2'])
 def test_nothing_is_taken_while_a_seat_could_not_read_it(old):
-    f = fleet(13, olds={old: PROTO - 1})
+    # the last protocol that knows no such orders
+    f = fleet(13, olds={old: 3})
     assert put(f, doc(1), 0)[0] == 'no_holder' and ask(f, 'zone_set', zone='z1', emptied=True)[0] == 'no_holder'
     assert ask(f, 'queues_get') == ('ok', {'number': 0, 'by': '', 'at': 0, 'doc': {}})
     f.w.kill(old)
