Know an order by its content, not by the order of its keys

Cause: the digest of an order was made of its text, so the same configuration with its keys in another order (a client or a proxy that writes the JSON anew) was refused as stale. Reproduced in a fleet: the repeat got 412. The digest is now made of the content with sorted keys; lists keep their order, 2 and 2.0 stay different. Orders that an earlier release accepted are looked up by their old digest too, and while a replica of protocol 4 is there the old digest is ordered. Two operators that send equal content on one base are both acknowledged: one version is in force, and it is what both asked for.

--- a/asterwharf/scheduler/clerk.py
+++ b/asterwharf/scheduler/clerk.py
@@ -7,6 +7,7 @@
 
 from asterwharf.base.board import Controller
 from asterwharf.scheduler import config, jobs, queues, show
+from asterwharf.scheduler.accepted import SINGLE_ROWS_PROTOCOL
 from asterwharf.scheduler.emptier import zones
 from asterwharf.scheduler.model import FINAL
 from asterwharf.wire.schema import unpack
@@ -167,11 +168,13 @@
             return give('bad_field', {'details': [f'base: {base!r} is not a number']})
         if txt.is_error():
             return give(txt.error.code, {'details': txt.error.more})
-        dig = queues.digest(base, txt.ok)
-        got = self._settled(dig, base)
+        self.b.chore(queues.marking(base, req, txt.ok), lambda marks: self._marked(a, give, req, make, base, txt.ok, marks))
+
+    def _marked(self, a, give, req, make, base, txt, marks):
+        got = self._settled(marks, base)
         if got and got[0] != 'ok':
             # a holder that was deposed may know less than its successor: it must not refuse
-            return self._sure(self.core, give, lambda: give(*(self._settled(dig, base) or ('unsure', NOBODY))))
+            return self._sure(self.core, give, lambda: give(*(self._settled(marks, base) or ('unsure', NOBODY))))
         if got:
             return give(*got)
         # from here on mistakes are the same whoever finds them: the document under the base never changes
@@ -182,22 +185,26 @@
         def done(res):
             if res.is_error():
                 return give(res.error.code, {'details': res.error.more})
-            doc = {'number': res.ok, 'base': base, 'by': str(a.get('by') or '')[:64], 'at': self.core.wall, 'sum': dig,
-                   'doc': queues.squeeze(txt.ok if new.ok is req else queues.text(new.ok).ok)}
+            # while a replica of an earlier release is there, the digest that it would look for
+            mark = marks[0] if self.core.floor >= SINGLE_ROWS_PROTOCOL else marks[1]
+            doc = {'number': res.ok, 'base': base, 'by': str(a.get('by') or '')[:64], 'at': self.core.wall, 'sum': mark,
+                   'doc': queues.squeeze(txt if new.ok is req else queues.text(new.ok).ok)}
             self._order(self.core, 'c_queues', doc, give, then)
 
         def then(r):
             if not r.accepted and not r.stale:
                 return give('bad_config', {'details': [f"number: {new.ok['number']} is not above {r.number}"]})
-            give('ok' if r.accepted else 'stale', {'number': r.number})
+            # another copy may have been accepted under its other digest, by a leader of an earlier release
+            give(*(('ok', {'number': r.number}) if r.accepted else self._settled(marks, base)))
         self.b.chore(queues.checking(new.ok, base), done)
 
-    def _settled(self, dig, base):
+    def _settled(self, marks, base):
         """(code, body) where the order was accepted before, or its base is not the number in force; else None."""
         mac = self.core.mac
-        number = mac.accepted.number(dig)
-        if number is not None:
-            return 'ok', {'number': number}
+        for mark in marks:
+            number = mac.accepted.number(mark)
+            if number is not None:
+                return 'ok', {'number': number}
         return ('stale', {'number': mac.number}) if base != mac.number else None
 
     def do_zone_set(self, a, give, cell):
--- a/tests/test_accepted_orders.py
+++ b/tests/test_accepted_orders.py
@@ -267,3 +267,38 @@
     assert insist(f, 'emptied')[1]['zones'] == [{'zone': 'z1', 'since': since}]
     for _ in range(2):
         assert insist(f, 'zone_set', zone='z1', emptied=False) == ('ok', {'zone': 'z1', 'emptied': False})
+
+
+# --- what makes two orders the same
+def test_the_same_content_on_the_same_base_is_the_same_order():
+    f = fleet(34)
+    d = doc(1, more={'a': 1, 'b': {'x': 1, 'y': 2}})
+    other = json.loads(json.dumps(d, sort_keys=True, indent=4))
+    assert list(other) != list(d) and other == d
+    assert put(f, d, 0) == ('ok', {'number': 1})
+    assert put(f, doc(2), 1)[0] == 'ok'
+    assert put(f, other, 0, 'e1') == ('ok', {'number': 1})
+    # lists have an order, and a number written otherwise is other content
+    swapped = dict(d, queues=d['queues'][::-1])
+    assert put(f, swapped, 0)[0] == 'stale'
+    one, two = (
+        {'base': 2, 'number': 3, 'set': s, 'drop': {}}
+        for s in ({'queues': [queue(1)], 'groups': []}, {'groups': [], 'queues': [queue(1)]})
+    )
+    assert ask(f, 'queues_change', **one) == ask(f, 'queues_change', **two) == ('ok', {'number': 3})
+
+
+def test_an_order_that_an_earlier_release_accepted_is_known_by_its_digest_too():
+    f = fleet(35, olds={'t0': BEFORE, 't1': BEFORE, 't2': BEFORE})
+    d = {'queues': [queue(1)], 'number': 1, 'groups': doc(1)['groups']}
+    assert put(f, d, 0)[0] == 'ok' and put(f, doc(2), 1)[0] == 'ok'
+    leader = f.holder('core')
+    assert list(f.chair(leader, 'core').mac.accepted.digests())[0] == queues.plain_digest(
+        0, json.dumps(d, separators=(',', ':'))
+    )
+    for n in f.core:
+        f.w.kill(n)
+        f.protos[n] = PROTO
+        f.w.start(n)
+        f.w.run(f.w.t + 4000)
+    assert insist(f, 'queues_put', doc=d, base=0) == ('ok', {'number': 1})
