--- a/asterwharf/scheduler/clerk.py
+++ b/asterwharf/scheduler/clerk.py
@@ -6,7 +6,7 @@
 from expression import Ok
 
 from asterwharf.base.board import Controller
-from asterwharf.scheduler import config, jobs, queues, show
+from asterwharf.scheduler import config, jobs, order_digest, queues, show
 from asterwharf.scheduler.accepted import SINGLE_ROWS_PROTOCOL
 from asterwharf.scheduler.emptier import zones
 from asterwharf.scheduler.model import FINAL
@@ -168,7 +168,7 @@
             return give('bad_field', {'details': [f'base: {base!r} is not a number']})
         if txt.is_error():
             return give(txt.error.code, {'details': txt.error.more})
-        self.b.chore(queues.marking(base, req, txt.ok), lambda marks: self._marked(a, give, req, make, base, txt.ok, marks))
+        self.b.chore(order_digest.marking(base, req, txt.ok), lambda marks: self._marked(a, give, req, make, base, txt.ok, marks))
 
     def _marked(self, a, give, req, make, base, txt, marks):
         got = self._settled(marks, base)
--- a/asterwharf/scheduler/queues.py
+++ b/asterwharf/scheduler/queues.py
@@ -5,7 +5,6 @@
 """
 
 import base64
-import hashlib
 import json
 import zlib
 from bisect import bisect_right
@@ -21,8 +20,6 @@
 MOST, SLICE, DEPTH = 20000, 1000, 64
 # placement policies in one document: each is compiled on every core node
 POLICIES = 100
-# a document's text, from which on its digest is made in a slice of its own (characters)
-LARGE_TEXT = 1 << 16
 PROGRAMS = ('may_land', 'may_evict', 'score')
 # the largest whole number: every reader of JSON keeps it exactly, and it fits a record
 BIG = 1 << 53
@@ -287,25 +284,6 @@
 
 
 # --- as it is kept
-def digest(base, request):
-    """Marks an order: the same content on the same base is the same order, whatever the order of its keys."""
-    return plain_digest(base, json.dumps(request, sort_keys=True, separators=(',', ':')))
-
-
-def plain_digest(base, txt):
-    """Marks an order by its text, as releases before protocol 5 do: the order of keys matters."""
-    return hashlib.sha256(f'{base}\n{txt}'.encode()).hexdigest()[:32]
-
-
-def marking(base, request, txt):
-    """Both digests of an order, the one by content first; of a large one each in a slice of its own."""
-    large = len(txt) // LARGE_TEXT
-    yield large
-    content = digest(base, request)
-    yield large
-    return content, plain_digest(base, txt)
-
-
 def squeeze(txt):
     return zlib.compress(txt.encode(), 1)
 
--- a/tests/test_accepted_orders.py
+++ b/tests/test_accepted_orders.py
@@ -7,7 +7,7 @@
 from test_queues_fleet import ask, fleet, insist, put, send
 
 from asterwharf.base.settings import View
-from asterwharf.scheduler import queues
+from asterwharf.scheduler import order_digest, queues
 from asterwharf.scheduler.accepted import LEGACY_KEPT, LEGACY_ROW, ORDERS_KEPT, AcceptedOrders
 from asterwharf.scheduler.core import Core
 from asterwharf.wire.schema import PROTO, Alien, pack, unpack
@@ -293,7 +293,7 @@
     d = {'queues': [queue(1)], 'number': 1, 'groups': doc(1)['groups']}
     assert put(f, d, 0)[0] == 'ok' and put(f, doc(2), 1)[0] == 'ok'
     leader = f.holder('core')
-    assert list(f.chair(leader, 'core').mac.accepted.digests())[0] == queues.plain_digest(
+    assert list(f.chair(leader, 'core').mac.accepted.digests())[0] == order_digest.plain_digest(
         0, json.dumps(d, separators=(',', ':'))
     )
     for n in f.core:
