Answer the reads that wait when a leadership is lost

A leader that steps down cleared its leadership before it looked for the reads that waited there, so none was answered: a caller of a control machine that was cut off heard nothing until its time was up, instead of being sent on to the next leader or told to come again. The callbacks stayed in memory, too. Ruled out: proposals, which were answered already.

tests/test_election.py, the first of pure replicas, failed before (no result for the read) and passes now.

--- a/asterwharf/consensus/replica.py
+++ b/asterwharf/consensus/replica.py
@@ -156,10 +156,12 @@
             self.state_changes.append(StateChange(old, self.state, self.view, why))
 
     def _lose_leadership(self):
-        self.leadership = None
-        # the fate of what was not committed yet is for the next leader to say
+        reads, self.leadership = self.leadership.pending_reads, None
+        # the fate of what was not committed yet is for the next leader to say; a read is asked again there
         for _, token in self.pending.values():
             self.finish(token, None)
+        for token, _ in reads:
+            self.finish(token, None)
         self.pending = {}
 
     # --- founding: only when all have met and all are empty
