Give no vote while another leader's lease may stand

A lease rests on answers to heartbeats: who answered must not help to elect another leader for one silence bound. Three ways round that, each seen in a test of pure replicas in which two leaders could both hand out starts:

- on_request_vote never looked at when a leader was last heard.
Between the pre-vote and the vote the voter could renew the old leader's lease.
Now a vote is refused while a lease may stand, without a change of view, unless the leader itself named the candidate (`appointed`, a field of protocol 5).
- A restarted replica forgot what it had answered, and voted or stood at once.
A member of a founded group of more than one now counts its start as the last time it heard a leader.
- A leader whose named successor stayed silent went on in its view, with its lease, though the word could still arrive.
It now opens the next view, in which only one of both is elected.

With older releases: an older voter votes as before; an older candidate is no appointed one, so of its successions a newer voter refuses those that come within the bound, unless it is the leader that named it. In a roll-out such a hand-over may take one silence bound.

Ruled out: the pre-vote alone (it promises nothing); votes of a learner or of another incarnation (never counted). Each mend was taken out by hand and its test failed.

--- a/asterwharf/consensus/election.py
+++ b/asterwharf/consensus/election.py
@@ -3,8 +3,11 @@
 from asterwharf.consensus.leader import Leader
 from asterwharf.consensus.states import State
 
-# of the silence bound: how long no leader was heard before another's pre-vote is granted
-PRE_VOTE_SILENCE = 0.9
+# of the silence bound: how long after a leader was heard no vote is given. A lease (LEASE in the controller of
+# heartbeats) is shorter by more than clocks may differ in their rates.
+VOTE_SILENCE = 0.9
+# of the silence bound: over how long the candidacies of a group are spread that restarts as a whole
+RESTART_SPREAD = 0.2
 
 
 class Election:
@@ -17,7 +20,17 @@
         silence = self.settings.silence_ms
         # of a group that begins or begins again, the first to ask may lead; where one leads, it is heard before that
         ratio = 1 if self.leader_heard > self.started_at else self.settings.first_ratio
-        self.election_due = self.now + int(silence * ratio * (1 + self.rng.random() * self.settings.spread_ratio))
+        spread = self.rng.random()
+        due = self.now + int(silence * ratio * (1 + spread * self.settings.spread_ratio))
+        # our own vote, too, is given only when no lease may stand
+        lease_over = self.lease_possible_from + int(silence * (VOTE_SILENCE + spread * RESTART_SPREAD)) + 1
+        self.election_due = max(due, lease_over)
+
+    def _lease_may_stand(self):
+        """Whether a leader may hold a lease that an answer of ours is part of."""
+        heard = max(self.leader_heard, self.lease_possible_from)
+        since = self.leadership.lease_start() if self.leadership else heard
+        return self.now - since < self.settings.silence_ms * VOTE_SILENCE
 
     def _start_pre_vote(self):
         self.reset_election_timer()
@@ -38,8 +51,7 @@
 
     def on_pre_vote(self, source, message):
         """Answers whether a vote would be granted; changes nothing here."""
-        silent = self.now - self.leader_heard >= self.settings.silence_ms * PRE_VOTE_SILENCE
-        ready = silent and self.state != State.LEADER and self.state != State.LEARNER
+        ready = not self._lease_may_stand() and self.state != State.LEADER and self.state != State.LEARNER
         granted = ready and message['view'] > self.view and self._is_up_to_date(message)
         self.outbox.send(
             source,
@@ -61,19 +73,23 @@
         # a replica that lost its disk is another incarnation: its word counts for nothing yet
         return self.log.members.get(source) == message['inc']
 
-    def stand_for_election(self):
-        """Enters the next view as a candidate and asks for votes."""
+    def stand_for_election(self, appointed=False):
+        """Enters the next view as a candidate and asks for votes; `appointed` by a leader that gave up its lease."""
         self.view, self.vote, self.votes = self.view + 1, self.name, set()
         self.save_meta()
         self.change_state(State.CANDIDATE, 'standing')
         self.reset_election_timer()
         for name in self.other_members():
-            self.outbox.send_after_sync(name, 'request_vote', self._candidacy(self.view))
+            body = dict(self._candidacy(self.view), appointed=appointed)
+            self.outbox.send_after_sync(name, 'request_vote', body)
 
     def on_request_vote(self, source, message):
-        """Votes once a view, for a candidate whose log is not behind ours."""
+        """Votes once a view, for a candidate whose log is not behind ours, when no other's lease may stand."""
         if self.state == State.LEARNER:
             return
+        if self._lease_may_stand() and not message['appointed']:
+            # the view stays as well: a leader that is heard goes on undisturbed
+            return self._reply_vote(source, False)
         if message['view'] > self.view:
             self.enter_view(message['view'], '')
         free = message['view'] == self.view and self.vote in ('', source)
@@ -83,9 +99,11 @@
             self.save_meta()
         if granted:
             self.reset_election_timer()
-        self.outbox.send_after_sync(
-            source, 'vote_reply', {'grp': self.group, 'view': self.view, 'ok': granted, 'inc': self.incarnation}
-        )
+        self._reply_vote(source, granted)
+
+    def _reply_vote(self, source, granted):
+        body = {'grp': self.group, 'view': self.view, 'ok': granted, 'inc': self.incarnation}
+        self.outbox.send_after_sync(source, 'vote_reply', body)
 
     def on_vote_reply(self, source, message):
         """Counts a vote."""
@@ -122,4 +140,13 @@
         """Named by the leader: stands at once, without a pre-vote."""
         if self.state == State.FOLLOWER and message['view'] == self.view and source == self.leader:
             self.counters['handed'] += 1
-            self.stand_for_election()
+            self.stand_for_election(appointed=True)
+
+    def retake_leadership(self):
+        """The successor that was named did not follow: this leader opens another view.
+
+        It may not go on in its own: the successor may still stand, with votes that do not wait for a lease to end.
+        In the next view only one of both is elected.
+        """
+        self.change_state(State.FOLLOWER, 'successor silent')
+        self.stand_for_election(appointed=True)
--- a/asterwharf/consensus/leader.py
+++ b/asterwharf/consensus/leader.py
@@ -82,7 +82,7 @@
         if replica.now - self.heartbeat_at >= silence * replica.settings.beat_ratio:
             self.heartbeat_due = True
         if self.successor and replica.now - self.successor_since > silence:
-            self.successor, self.accepts_proposals = '', True
+            return replica.retake_leadership()
         self._change_membership()
         self._relieve_slow_disk()
 
--- a/asterwharf/consensus/replica.py
+++ b/asterwharf/consensus/replica.py
@@ -50,6 +50,7 @@
         'leader',
         'leader_heard',
         'leadership',
+        'lease_possible_from',
         'log',
         'machine',
         'membership_committed',
@@ -91,8 +92,9 @@
         # what was proposed once in a protocol's words, every member could read
         self.proved = 0
         self.state, self.state_since = State.LEARNER, now
-        # nobody was heard in this life yet: nothing stands against another's claim, and ours need not wait long
         self.leader_heard, self.election_due, self.sync_lag = now - settings.silence_ms, 0, 0
+        # when a leader may have begun a lease with an answer of an earlier life of this replica
+        self.lease_possible_from = now - settings.silence_ms
         self.counters = {'views': 0, 'syncs': 0, 'sent': 0, 'handed': 0, 'trimmed': 0}
         if saved['meta']:
             self._restore(saved)
@@ -115,6 +117,9 @@
         self.commit_index = self.log.snapshot_index
         if self.is_member:
             self.state = State.FOLLOWER
+        if set(self.log.members) != {self.name}:
+            # what was answered just before the end of the earlier life is not known any more
+            self.lease_possible_from = self.now
 
     # --- members and majorities
     @property
--- a/asterwharf/wire/kinds.py
+++ b/asterwharf/wire/kinds.py
@@ -20,7 +20,9 @@
 # --- replicated groups
 kind(10, 'pre_vote', {'grp': 's', 'view': 'l', 'op': 'l', 'stamp': 'l'})
 kind(11, 'pre_vote_reply', {'grp': 's', 'view': 'l', 'ok': 'b', 'inc': 's'})
-kind(12, 'request_vote', {'grp': 's', 'view': 'l', 'op': 'l', 'stamp': 'l'})
+_CANDIDACY = {'grp': 's', 'view': 'l', 'op': 'l', 'stamp': 'l'}
+# `appointed`: the leader gave up its lease for this candidate
+kind(12, 'request_vote', _CANDIDACY, (5, dict(_CANDIDACY, appointed='b')))
 kind(13, 'vote_reply', {'grp': 's', 'view': 'l', 'ok': 'b', 'inc': 's'})
 kind(14, 'append', {'grp': 's', 'view': 'l', 'beat': 'l', 'prev': 'l', 'stamp': 'l', 'upto': 'l', 'entries': [_ENTRY]})
 kind(
