Confirm the leadership before a configuration is refused for unknown nodes

The check whether a cell's seats are known nodes looks at what this machine knows. A control machine that was cut off answered bad_config (400) for a node that the majority knows; now it answers that nobody can confirm it (503, come again), and refuses only once a majority confirms it. Mistakes in the document itself are the same everywhere and are still told at once.

tests/test_unconfirmed.py: failed before with bad_config, passes now.

--- a/asterwharf/scheduler/clerk.py
+++ b/asterwharf/scheduler/clerk.py
@@ -83,9 +83,10 @@
             if res.is_error():
                 return give(res.error.code, {'details': res.error.more})
             bad = self._seats(res.ok)
-            if bad:
-                return give('bad_config', {'details': bad})
-            then(res.ok)
+            if not bad:
+                return then(res.ok)
+            # a leader that was deposed may not know every node: it must not refuse
+            self._sure(self.core, give, lambda: give('bad_config', {'details': bad}))
         self.b.chore(config.checking(raw), done)
 
     def do_config_put(self, a, give, cell):
