Give a leaver's place over before it ends, by quorums of both memberships

Cause: a follower that was told to end kept its place until it counted as lost, and ended whatever it alone held; with its successor there, the next loss then left no majority. And while a membership change was not committed, neither the member that leaves nor the one that comes counted: one more loss in that moment stopped the group, also while it grew.

Now a replica that leaves says so (append_reply and join_request, protocol 5), and its leader gives its place to a caught-up learner, releases it when a majority knows that this is committed, or, where nobody stands by, when the others in touch are a majority that has all that is committed. It waits leave_ms at most and then says `left too early`. A leader hands over first. Where too few machines stay, all are released and nothing is changed.

Ruled out: counting only members of both memberships (as before: safe, but a loss in between stops the group); a shorter bound on silence alone (a leaver is known to leave; waiting to miss it wastes its last seconds).

--- a/asterwharf/consensus/election.py
+++ b/asterwharf/consensus/election.py
@@ -1,6 +1,7 @@
 """Elections: pre-votes, votes, and the change into a newer view. Pure."""
 
 from asterwharf.consensus.leader import Leader
+from asterwharf.consensus.log import Voter
 from asterwharf.consensus.states import State
 
 # of the silence bound: how long after a leader was heard no vote is given. A lease (LEASE in the controller of
@@ -36,7 +37,7 @@
         self.reset_election_timer()
         # a pre-vote first: a replica that was cut off must not drive the view up
         self.change_state(State.PRE_CANDIDATE, 'silence')
-        self.leader, self.votes = '', {self.name}
+        self.leader, self.votes = '', {self.voter}
         for name in self.other_members():
             self.outbox.send(name, 'pre_vote', self._candidacy(self.view + 1))
         if self.is_quorum(self.votes):
@@ -65,13 +66,13 @@
             return
         if not message['ok'] or not self._is_known(source, message):
             return
-        self.votes.add(source)
+        self.votes.add(Voter(source, message['inc']))
         if self.is_quorum(self.votes):
             self.stand_for_election()
 
     def _is_known(self, source, message):
         # a replica that lost its disk is another incarnation: its word counts for nothing yet
-        return self.log.members.get(source) == message['inc']
+        return self.is_voter(source, message['inc'])
 
     def stand_for_election(self, appointed=False):
         """Enters the next view as a candidate and asks for votes; `appointed` by a leader that gave up its lease."""
@@ -113,12 +114,12 @@
             return
         if not message['ok'] or not self._is_known(source, message):
             return
-        self.votes.add(source)
+        self.votes.add(Voter(source, message['inc']))
         self._count_votes()
 
     def _count_votes(self):
         # our own vote counts only once it is on our disk
-        own = {self.name} if self.outbox.clean else set()
+        own = {self.voter} if self.outbox.clean else set()
         if self.state == State.CANDIDATE and own and self.is_quorum(self.votes | own):
             self.change_state(State.LEADER, 'majority')
             self.leader = self.name
--- a/asterwharf/consensus/leader.py
+++ b/asterwharf/consensus/leader.py
@@ -1,6 +1,7 @@
 """What a replica does while it leads: replicates, counts, confirms reads, holds its lease, hands over. Pure."""
 
-from asterwharf.consensus.log import OPENING, Entry
+from asterwharf.consensus.departure import Departures
+from asterwharf.consensus.log import OPENING, Entry, Voter
 from asterwharf.consensus.membership import MembershipChanges
 from asterwharf.consensus.progress import FollowerProgress
 from asterwharf.consensus.snapshot import SnapshotSender
@@ -16,7 +17,7 @@
 SLOW_TICKS = 5
 
 
-class Leader(MembershipChanges, SnapshotSender):
+class Leader(MembershipChanges, Departures, SnapshotSender):
     """The state of a leader, from the majority that elected it to the silence or the view that ends it."""
 
     __slots__ = (
@@ -25,12 +26,14 @@
         'heartbeat_at',
         'heartbeat_due',
         'heartbeat_sent',
+        'membership_heartbeat',
         'opening_index',
         'pending_reads',
         'progress',
         'replacements',
         'replica',
         'slow_ticks',
+        'stopping_since',
         'successor',
         'successor_since',
     )
@@ -43,9 +46,12 @@
         self.heartbeat_sent = {}
         # an operator's word: the member out of sight -> the newcomer that takes its place
         self.replacements = {}
+        # the heartbeat that tells the newest membership change as committed; since when too few stay to go on
+        self.membership_heartbeat, self.stopping_since = 0, None
         self.progress = {
-            name: FollowerProgress(replica.now, replica.log.last + 1, replica.log.members[name])
-            for name in replica.other_members()
+            name: FollowerProgress(replica.now, replica.log.last + 1, incarnation)
+            for name, incarnation in replica.all_members().items()
+            if name != replica.name
         }
 
     def open(self):
@@ -69,13 +75,9 @@
         """Steps down without a majority in hearing; else heartbeats, membership changes, hand-over."""
         replica = self.replica
         silence = replica.settings.silence_ms
-        near = {
-            name
-            for name, progress in self.progress.items()
-            if replica.now - progress.heard_at < silence and self._is_current(name, progress)
-        }
+        near = self.voters_where(lambda progress: replica.now - progress.heard_at < silence)
         # without a majority in hearing this replica must neither order nor confirm
-        if not replica.is_quorum(near | {replica.name}) and replica.now - replica.state_since >= silence:
+        if not replica.is_quorum(near) and replica.now - replica.state_since >= silence:
             replica.leader = ''
             replica.reset_election_timer()
             return replica.change_state(State.FOLLOWER, 'no majority in hearing')
@@ -83,6 +85,7 @@
             self.heartbeat_due = True
         if self.successor and replica.now - self.successor_since > silence:
             return replica.retake_leadership()
+        self._handle_departures()
         self._change_membership()
         self._relieve_slow_disk()
 
@@ -144,6 +147,7 @@
                 'stamp': view,
                 'upto': replica.commit_index,
                 'entries': [entry.to_wire() for entry in entries],
+                'released': progress.released,
             },
         )
 
@@ -155,6 +159,7 @@
         if progress is None or message['inc'] != progress.incarnation:
             return
         progress.heard_at, progress.slow = replica.now, message['slow']
+        self._note_leaving(progress, message)
         progress.clock_offset = message['wall'] - replica.now
         progress.heartbeat = max(progress.heartbeat, message['beat'])
         if not message['ok']:
@@ -178,10 +183,10 @@
                 break
             # a membership change that was just committed changes who counts for the rest; of anything else the
             # followers learn that it is committed with the next entries or the next heartbeat
-            was = dict(replica.log.members)
             self._forget_former_members()
-            changed = was != replica.log.members or replica.log.memberships[-1].index > old
-            self.heartbeat_due = self.heartbeat_due or changed
+            if any(old < membership.index <= replica.commit_index for membership in replica.log.memberships):
+                self.membership_heartbeat, self.heartbeat_due = self.heartbeat + 1, True
+            self.heartbeat_due = self.heartbeat_due or replica.log.memberships[-1].index > old
         self._answer_reads()
 
     def _commit_newest(self):
@@ -196,22 +201,16 @@
 
     def _holders_of(self, index):
         replica = self.replica
-        holders = {
-            name
-            for name, progress in self.progress.items()
-            if progress.acked_index >= index and self._is_current(name, progress)
-        }
-        return holders | {replica.name} if replica.outbox.safe >= index else holders
+        return self.voters_where(lambda progress: progress.acked_index >= index, replica.outbox.safe >= index)
+
+    def voters_where(self, holds, itself=True):
+        """The replicas of whose progress `holds` is true, and this one where `itself` is."""
+        voters = {Voter(name, p.incarnation) for name, p in self.progress.items() if holds(p)}
+        return voters | {self.replica.voter} if itself else voters
 
     def _confirms(self, heartbeat):
         """Whether a majority has answered this heartbeat or a later one."""
-        replica = self.replica
-        answered = {
-            name
-            for name, progress in self.progress.items()
-            if progress.heartbeat >= heartbeat and self._is_current(name, progress)
-        }
-        return replica.is_quorum(answered | {replica.name})
+        return self.replica.is_quorum(self.voters_where(lambda progress: progress.heartbeat >= heartbeat))
 
     def _answer_reads(self):
         replica = self.replica
@@ -254,6 +253,7 @@
             if self._is_current(name, progress)
             and replica.now - progress.heard_at < replica.settings.silence_ms
             and (slow or not progress.slow)
+            and not progress.leaving
         ]
         return sorted(names, key=lambda name: (self.progress[name].slow, -self.progress[name].acked_index, name))
 
--- a/asterwharf/consensus/log.py
+++ b/asterwharf/consensus/log.py
@@ -2,6 +2,7 @@
 
 import json
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from asterwharf.wire.schema import kind, pack, unpack
 
@@ -40,6 +41,13 @@
         return cls.from_wire(unpack(raw)[1])
 
 
+class Voter(NamedTuple):
+    """One replica as memberships and quorums know it: one that lost its disk is another voter."""
+
+    name: str
+    incarnation: str
+
+
 @dataclass(slots=True)
 class Membership:
     """The members (name -> incarnation) from the entry `index` on; `changed` is the member that entry brought in."""
@@ -76,6 +84,15 @@
         """The newest membership, committed or not: name -> incarnation."""
         return self.memberships[-1].members
 
+    def memberships_in_force(self, committed):
+        """The memberships of which each must give a majority; `committed` is the newest index known to be committed.
+
+        While a membership change is under way these are the one before it and the one after it.
+        """
+        newest = self.memberships[-1]
+        under_way = newest.index > committed and len(self.memberships) > 1
+        return [self.memberships[-2].members, newest.members] if under_way else [newest.members]
+
     def at(self, index):
         """The entry at `index`, or None where the log does not hold it."""
         i = index - self.cut_index - 1
--- a/asterwharf/consensus/member.py
+++ b/asterwharf/consensus/member.py
@@ -5,11 +5,14 @@
 from asterwharf.consensus.states import State
 from asterwharf.wire.schema import pack, speaks
 
+# the first protocol in which a follower says that it leaves and is told that it may
+RELEASES = 5
+
 
 class GroupMember(Controller):
     """This process's part in one group; other controllers propose and read through it."""
 
-    __slots__ = ('eligible', 'grp', 'mac', 'nxt', 'protos', 'replica', 'then')
+    __slots__ = ('eligible', 'had_place', 'grp', 'mac', 'nxt', 'protos', 'replica', 'then')
     hears = (
         'pre_vote',
         'pre_vote_reply',
@@ -29,6 +32,8 @@
         self.eligible, self.protos = frozenset(eligible), {b.me: b.proto}
         self.grp, self.mac, self.then, self.nxt = grp, mac, {}, 0
         mac.reads = mac.floor = b.proto
+        # whether it was a member when its process was told to end; None before that
+        self.had_place = None
         self.replica = Replica(grp, b.me, b.inc, b.set.view, b.rng, mac, saved, b.now)
 
     def __getattr__(self, nam):
@@ -66,7 +71,7 @@
         A member that was lost for good is never heard again after a restart; what the log shows it could read, it
         could.
         """
-        members = self.replica.log.members or [self.b.me]
+        members = self.replica.all_members() or [self.b.me]
         return max(self.replica.proved, min(self.protos.get(name, 1) for name in members))
 
     def order(self, kind, doc, then=None):
@@ -90,6 +95,22 @@
         self.then[self.nxt] = then
         return True
 
+    def leave(self):
+        """Hands over what is held here; whether the process may end as far as this group is concerned."""
+        replica = self.replica
+        if self.had_place is None:
+            self.had_place = replica.is_member
+        replica.leaving = True
+        if not self.had_place or len(replica.log.members) == 1 or replica.released:
+            return True
+        leadership = replica.leadership
+        if leadership is not None:
+            if not leadership.successor and not leadership.all_stop:
+                replica.transfer_leadership()
+            return leadership.may_end()
+        # an older leader does not know of leaving
+        return bool(replica.leader) and self.protos.get(replica.leader, self.b.proto) < RELEASES
+
     def found(self, members):
         """Founds the group with `members`: name -> incarnation."""
         self.replica.found(members)
@@ -143,11 +164,14 @@
 
 
 def leave(node):
-    """Hands over every leadership; True when none is left here."""
-    leading = [
-        c for c in group_members(node).values() if c.replica.leadership is not None and len(c.replica.log.members) > 1
-    ]
-    for member in leading:
-        if not member.replica.leadership.successor:
-            member.replica.transfer_leadership()
-    return not leading
+    """Hands over every leadership and every place; True when nothing is held or needed here any more."""
+    # every group is asked, also after one that is not ready
+    return all([member.leave() for member in group_members(node).values()])  # noqa: C419
+
+
+def cut_short(node):
+    """The time for leaving is over: says which groups still needed this process."""
+    for member in group_members(node).values():
+        if not member.leave():
+            replica = member.replica
+            node.b.log('warning', 'left too early', group=member.grp, state=replica.state, leader=replica.leader)
--- a/asterwharf/consensus/membership.py
+++ b/asterwharf/consensus/membership.py
@@ -3,8 +3,6 @@
 from asterwharf.consensus.progress import FollowerProgress
 from asterwharf.consensus.states import State
 
-# how many entries a learner may lack when it becomes a member
-CAUGHT_UP = 50
 # of the silence bound: how long a newcomer from another zone waits for a lost member
 OTHER_ZONE_WAIT = 30.0
 # of the silence bound: within this a member was heard a moment ago; a replaced one is forgotten after that
@@ -23,6 +21,7 @@
         if progress is None or progress.incarnation != message['inc']:
             progress = self.progress[source] = FollowerProgress(replica.now, 0, message['inc'])
         progress.heard_at = replica.now
+        self._note_leaving(progress, message)
         if message['op'] < 0 and progress.snapshot is None:
             progress.next_index, progress.acked_index = 0, 0
         elif progress.next_index == 0 and progress.snapshot is None and message['op'] >= 0:
@@ -34,10 +33,7 @@
         if replica.changing or not self.ready:
             return
         for name, progress in self.progress.items():
-            if self._is_current(name, progress) or progress.snapshot is not None or not progress.acked_index:
-                continue
-            behind = replica.log.last - progress.acked_index > CAUGHT_UP
-            if behind or replica.now - progress.heard_at > replica.settings.silence_ms:
+            if self._is_current(name, progress) or progress.leaving or not self._is_caught_up(progress):
                 continue
             old = name if name in replica.log.members else self._requested_for(name) or self._lost_member(name)
             if old or self._may_grow(name):
@@ -53,7 +49,7 @@
         replica = self.replica
         if len(replica.log.members) >= replica.settings.seats:
             return False
-        # until it is committed the new member counts for nobody: not a moment for it when another is missing
+        # it raises the number of those that must answer: not a moment for it when another is missing
         if any(not self._is_fresh(name) for name in replica.other_members()):
             return False
         # members lie apart: first where there are fewest
@@ -126,5 +122,5 @@
             silent = replica.now - self.progress[name].heard_at > replica.settings.silence_ms * FORGOTTEN
             if name not in replica.log.members and silent:
                 del self.progress[name]
-        if replica.name not in replica.log.members:
+        if not replica.is_member:
             replica.change_state(State.LEARNER, 'unseated')
--- a/asterwharf/consensus/progress.py
+++ b/asterwharf/consensus/progress.py
@@ -24,9 +24,12 @@
         'heard_at',
         'heartbeat',
         'incarnation',
+        'leaving',
+        'leaving_since',
         'next_index',
         'part',
         'part_sent_at',
+        'released',
         'slow',
         'snapshot',
     )
@@ -37,3 +40,5 @@
         self.heard_at, self.next_index, self.incarnation = now, next_index, incarnation
         self.clock_offset, self.slow, self.snapshot, self.part = None, False, None, 0
         self.part_sent_at, self.appended_at = 0, 0
+        # its process was told to end, when that was first heard, and whether it was told that it may
+        self.leaving, self.leaving_since, self.released = False, now, False
--- a/asterwharf/consensus/replica.py
+++ b/asterwharf/consensus/replica.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from asterwharf.consensus.election import Election
-from asterwharf.consensus.log import CHANGE, MEMBERSHIP, Entry, Log
+from asterwharf.consensus.log import CHANGE, MEMBERSHIP, Entry, Log, Voter
 from asterwharf.consensus.outbox import Message, Outbox, WriteBatch
 from asterwharf.consensus.replication import Replication
 from asterwharf.consensus.snapshot import SnapshotReceiver
@@ -51,6 +51,7 @@
         'leader_heard',
         'leadership',
         'lease_possible_from',
+        'leaving',
         'log',
         'machine',
         'membership_committed',
@@ -60,6 +61,7 @@
         'peers',
         'pending',
         'proved',
+        'released',
         'results',
         'rng',
         'rows',
@@ -83,6 +85,8 @@
         self.rng, self.machine, self.now, self.wall, self.started_at = rng, machine, now, now, now
         self.view, self.vote, self.votes, self.commit_index = 0, '', set(), 0
         self.leader, self.leadership = '', None
+        # whether the process was told to end, and whether a leader has said that it is not needed any more
+        self.leaving, self.released = False, False
         self.log, self.rows, self.snapshot_parts = Log(), {}, []
         # proposals by index: (view, token); the last membership change that is known to be committed
         self.pending, self.membership_committed = {}, 0
@@ -130,7 +134,7 @@
     @property
     def is_member(self):
         """Whether this incarnation is a member of the group."""
-        return self.log.members.get(self.name) == self.incarnation
+        return self.is_voter(self.name, self.incarnation)
 
     @property
     def changing(self):
@@ -138,15 +142,34 @@
         newest = self.log.memberships[-1]
         return newest.changed if newest.index > max(self.commit_index, self.membership_committed) else ''
 
-    def is_quorum(self, names):
-        """Whether `names` are a majority of the members; one that is being changed never counts."""
-        members = set(self.log.members)
-        needed = len(members) // 2 + 1
-        return len(names & (members - {self.changing})) >= needed
+    @property
+    def memberships_in_force(self):
+        """Two while a membership change is not known to be committed, else one: name -> incarnation each."""
+        return self.log.memberships_in_force(max(self.commit_index, self.membership_committed))
+
+    @property
+    def voter(self):
+        """This replica as quorums count it."""
+        return Voter(self.name, self.incarnation)
+
+    def is_quorum(self, voters):
+        """Whether `voters` are a majority of each membership in force."""
+        return all(
+            2 * sum(member in voters for member in members.items()) > len(members)
+            for members in self.memberships_in_force
+        )
+
+    def is_voter(self, name, incarnation):
+        """Whether this incarnation is a member by any membership in force."""
+        return any(members.get(name) == incarnation for members in self.memberships_in_force)
+
+    def all_members(self):
+        """Name -> newest incarnation, over the memberships in force."""
+        return {name: inc for members in self.memberships_in_force for name, inc in members.items()}
 
     def other_members(self):
         """The names of all members but this one."""
-        return [name for name in self.log.members if name != self.name]
+        return [name for name in self.all_members() if name != self.name]
 
     # --- the one function for every change of state
     def change_state(self, new, why):
@@ -257,7 +280,8 @@
         self.join_asked_at = self.now
         index = -1 if self.empty else self.log.last
         for peer in sorted(self.peers):
-            self.outbox.send(peer, 'join_request', {'grp': self.group, 'inc': self.incarnation, 'op': index})
+            body = {'grp': self.group, 'inc': self.incarnation, 'op': index, 'leaving': self.leaving}
+            self.outbox.send(peer, 'join_request', body)
 
     def receive(self, source, kind, message, now):
         """Takes one message of this group."""
--- a/asterwharf/consensus/replication.py
+++ b/asterwharf/consensus/replication.py
@@ -21,6 +21,7 @@
         if message['view'] > self.view or not following:
             self.enter_view(message['view'], source)
         self.leader_heard = self.now
+        self.released = self.released or message.get('released', False)
         self.reset_election_timer()
         if message['prev'] > self.log.last:
             return self._reply_append(source, message, False, self.log.last)
@@ -59,6 +60,7 @@
             'inc': self.incarnation,
             'wall': self.wall,
             'slow': self.is_slow,
+            'leaving': self.leaving,
         }
         # liveness is told at once where the disk would hold it up; what is synced is told when it is
         heartbeat_ms = self.settings.silence_ms * self.settings.beat_ratio
--- a/asterwharf/furrow/main.py
+++ b/asterwharf/furrow/main.py
@@ -2,7 +2,7 @@
 
 from asterwharf.base.command import settle
 from asterwharf.clock.boot import boot_ms, wall_ms
-from asterwharf.consensus.member import leave
+from asterwharf.consensus.member import cut_short, leave
 from asterwharf.furrow import node
 from asterwharf.scheduler.policy import warm
 from asterwharf.wire.daemon import Daemon, rng, run
@@ -14,6 +14,9 @@
     def idle(self):
         return leave(self.node)
 
+    def cut_short(self):
+        cut_short(self.node)
+
 
 def serve(st, path, over, cuts):
     from asterwharf.base import logs
--- a/asterwharf/trellis/main.py
+++ b/asterwharf/trellis/main.py
@@ -4,7 +4,7 @@
 
 from asterwharf.base.command import settle
 from asterwharf.clock.boot import boot_ms, wall_ms
-from asterwharf.consensus.member import leave
+from asterwharf.consensus.member import cut_short, leave
 from asterwharf.scheduler.policy import warm
 from asterwharf.trellis import node
 from asterwharf.wire.daemon import Daemon, rng, run
@@ -16,6 +16,9 @@
     def idle(self):
         return leave(self.node)
 
+    def cut_short(self):
+        cut_short(self.node)
+
 
 def start(st, path, over, cuts):
     from asterwharf.base import logs
--- a/asterwharf/wire/daemon.py
+++ b/asterwharf/wire/daemon.py
@@ -262,11 +262,16 @@
         # every part is asked, also after one that is not idle
         done = all([p.idle() for p in self.parts]) and self.free and self.idle()  # noqa: C419
         if done or now >= self.end:
+            if not done:
+                self.cut_short()
             self.stop_now(0)
 
     def idle(self):
         return True
 
+    def cut_short(self):
+        """The time for leaving is over before all was idle."""
+
     def stop_now(self, code):
         self._settle()
         logs.say('info', 'left', counts=dict(self.b.count))
--- a/asterwharf/wire/kinds.py
+++ b/asterwharf/wire/kinds.py
@@ -24,12 +24,12 @@
 # `appointed`: the leader gave up its lease for this candidate
 kind(12, 'request_vote', _CANDIDACY, (5, dict(_CANDIDACY, appointed='b')))
 kind(13, 'vote_reply', {'grp': 's', 'view': 'l', 'ok': 'b', 'inc': 's'})
-kind(14, 'append', {'grp': 's', 'view': 'l', 'beat': 'l', 'prev': 'l', 'stamp': 'l', 'upto': 'l', 'entries': [_ENTRY]})
-kind(
-    15,
-    'append_reply',
-    {'grp': 's', 'view': 'l', 'beat': 'l', 'ok': 'b', 'op': 'l', 'inc': 's', 'wall': 'l', 'slow': 'b'},
-)
+_APPEND = {'grp': 's', 'view': 'l', 'beat': 'l', 'prev': 'l', 'stamp': 'l', 'upto': 'l', 'entries': [_ENTRY]}
+# `released`: the receiver's process, which was told to end, is not needed any more
+kind(14, 'append', _APPEND, (5, dict(_APPEND, released='b')))
+_APPEND_REPLY = {'grp': 's', 'view': 'l', 'beat': 'l', 'ok': 'b', 'op': 'l', 'inc': 's', 'wall': 'l', 'slow': 'b'}
+# `leaving`: the sender's process was told to end
+kind(15, 'append_reply', _APPEND_REPLY, (5, dict(_APPEND_REPLY, leaving='b')))
 kind(
     16,
     'install_snapshot',
@@ -46,7 +46,8 @@
 )
 kind(17, 'snapshot_reply', {'grp': 's', 'view': 'l', 'op': 'l', 'part': 'l'})
 kind(18, 'transfer_leadership', {'grp': 's', 'view': 'l'})
-kind(19, 'join_request', {'grp': 's', 'inc': 's', 'op': 'l'})
+_JOIN_REQUEST = {'grp': 's', 'inc': 's', 'op': 'l'}
+kind(19, 'join_request', _JOIN_REQUEST, (5, dict(_JOIN_REQUEST, leaving='b')))
 # --- errands and news
 kind(30, 'errand', {'id': 's', 'grp': 's', 'op': 's', 'args': 'j', 'ttl': 'l', 'hops': 'l'})
 kind(31, 'returned', {'id': 's', 'code': 's', 'body': 'j', 'hint': 's'})
