Keep on each founder's disk that it founds, and found by a majority of such disks

Cause: only the settings of the very first start name the founders. Processes that ended before the groups were founded found first_boot false and never founded: nobody could ever lead.

Now the store is made with the founders' addresses in it, and a later start goes on by them. The record dies with the disk. So that what is left of a group that lives elsewhere never begins a second one, a founding takes a majority of founders on their first disks, all empty: any majority that ever led would share a disk with it. The roll says it (sequence 5); an older release counts as before.

Still open until the next change: a founding that only some founders have synced.

--- a/asterwharf/disk/store.py
+++ b/asterwharf/disk/store.py
@@ -7,8 +7,9 @@
 import lmdb
 
 from asterwharf.disk import files
+from asterwharf.disk.founding import Founding
 
-META, INCARNATION, NODE = b'meta', b'inc', 'node'
+META, NODE, INCARNATION, FOUNDERS = b'meta', 'node', b'inc', b'founders'
 # the file of the store; the one that becomes it when it is whole
 DATA, MAKING = 'data.mdb', 'data.mdb.new'
 
@@ -24,11 +25,15 @@
 class Store:
     """Keeps every group's meta, log and rows; without a folder it keeps nothing."""
 
-    __slots__ = ('dbs', 'env', 'inc', 'path', 'room')
+    __slots__ = ('dbs', 'env', 'founding', 'inc', 'path', 'room')
 
-    def __init__(self, path, disk_mb=4096):
-        """`disk_mb`: the most that may lie in the folder, in MiB. Raises Corrupt."""
+    def __init__(self, path, disk_mb=4096, founding=None):
+        """`disk_mb`: the most that may lie in the folder, in MiB. Raises Corrupt.
+
+        `founding` is kept if the store is made by this call; `self.founding` is what was kept when it was made.
+        """
         self.path, self.dbs, self.env, self.room = path, {}, None, disk_mb << 20
+        self.founding = founding
         # no folder: wiped at each restart, by the same path as a lost disk
         if not path:
             self.inc = secrets.token_hex(8)
@@ -36,11 +41,11 @@
         try:
             files.make_folder(path)
             if not os.path.exists(self._file(DATA)):
-                self._create()
+                self._create(founding)
             # an earlier process may have ended before it had synced the name of its file
             files.sync_folder(path)
             self.env = self._open(DATA)
-            self.inc = self._incarnation()
+            self.inc, self.founding = self._birth()
         except lmdb.Error as e:
             raise Corrupt(f'{path}: {e}') from None
 
@@ -55,23 +60,26 @@
             self._file(name), subdir=False, max_dbs=512, map_size=self.room, lock=False, metasync=False, sync=True
         )
 
-    def _create(self):
+    def _create(self, founding):
         """Makes a store with its incarnation under another name first: one that bears `DATA` is whole and synced."""
         files.remove(self._file(MAKING))
         self.env = self._open(MAKING)
         with self.env.begin(db=self._db(NODE), write=True) as t:
             t.put(INCARNATION, secrets.token_hex(8).encode())
+            if founding is not None:
+                t.put(FOUNDERS, json.dumps(founding.founders).encode())
         self.env.sync(True)
         self.env.close()
         self.env, self.dbs = None, {}
         files.rename(self._file(MAKING), self._file(DATA))
 
-    def _incarnation(self):
+    def _birth(self):
+        """The incarnation, and the founding that was kept when the store was made (or None)."""
         with self.env.begin(db=self._db(NODE)) as t:
-            v = t.get(INCARNATION)
-        if v is None:
+            inc, founders = t.get(INCARNATION), t.get(FOUNDERS)
+        if inc is None:
             raise Corrupt(f'{self.path}: without an incarnation')
-        return v.decode()
+        return inc.decode(), Founding(tuple(json.loads(founders))) if founders else None
 
     def _db(self, nam):
         if nam not in self.dbs:
--- a/asterwharf/ring/meet.py
+++ b/asterwharf/ring/meet.py
@@ -4,6 +4,8 @@
 
 # of the bound on silence: between two words to a peer; between two whole rolls; at least between two when rows changed
 WORD, WHOLE, ROWS = 2, 8, 0.25
+# the first protocol whose roll says whether its sender may found
+FOUNDER_TOLD = 5
 
 
 class Meet(Controller):
@@ -34,6 +36,12 @@
     def empty(self):
         return bool(self.members) and all(c.replica.empty for c in self.members)
 
+    @property
+    def founder(self):
+        """Whether this process may found: its disk is the one of the first start, and it was named as a founder."""
+        s = self.b.set
+        return s.found and (not s.founders or s.bind in s.founders)
+
     # --- dialling
     def _wanted(self):
         b = self.b
@@ -99,6 +107,7 @@
             'roll',
             node=[r for r in b.nodes.values() if r['role'] != 'tend'] if rows else [],
             empty=self.empty,
+            founder=self.founder,
             inc=b.inc,
             known=sorted(f'{n}#{i}' for n, i in met.items()),
             met=sorted(b.links) if rows else [],
@@ -137,7 +146,9 @@
             return
         self.empties.pop(src, None)
         if d['empty']:
-            self.empties[src] = {'inc': d['inc'], 'known': d['known']}
+            # an older release does not say it
+            old = b.links[src]['proto'] < FOUNDER_TOLD
+            self.empties[src] = {'inc': d['inc'], 'known': d['known'], 'founder': d['founder'] or old}
         self._found()
 
     def _others(self):
@@ -151,11 +162,15 @@
         """Only when every core process that founds has met every other, and all say "empty"."""
         b = self.b
         # one that has lost its disk, or came later, must not begin a second core beside the first
-        if not self.empty or not b.set.found or (b.set.founders and b.set.bind not in b.set.founders):
+        if not self.empty or not self.founder:
             return
         others = self._others()
         if len(others) != b.set.core_size - 1:
             return
+        # Where a majority still has the disks of the first start, and these are empty, no group was ever led by
+        # another majority. Fewer may be what is left of a group that goes on elsewhere.
+        if 1 + sum(e['founder'] for e in others.values()) <= b.set.core_size // 2:
+            return
         met = {b.me: b.inc} | {n: e['inc'] for n, e in others.items()}
         mark = sorted(f'{n}#{i}' for n, i in met.items())
         if any(e['known'] != mark for e in others.values()):
--- a/asterwharf/sim/hosts.py
+++ b/asterwharf/sim/hosts.py
@@ -4,10 +4,10 @@
 class Disk:
     """What is on one machine's disk; survives a crash, not a wipe."""
 
-    __slots__ = ('inc', 'rows')
+    __slots__ = ('founding', 'inc', 'rows')
 
     def __init__(self, inc):
-        self.inc, self.rows = inc, {}
+        self.inc, self.rows, self.founding = inc, {}, None
 
     def load(self, grp):
         g = self.rows.get(grp)
--- a/asterwharf/wire/kinds.py
+++ b/asterwharf/wire/kinds.py
@@ -14,7 +14,9 @@
 kind(1, 'hello', dict(_NODE, proto='l', token='s'), (4, dict(_CALLED, proto='l', token='s')))
 _ROLL = {'node': [_NODE], 'empty': 'b', 'inc': 's', 'known': 'S', 'holders': 'j'}
 # `met`: who is connected with the sender, whose word on their addresses is first hand
-kind(2, 'roll', _ROLL, (3, dict(_ROLL, met='S')), (4, dict(_ROLL, met='S', node=[_CALLED])))
+_ROLL_CALLED = dict(_ROLL, met='S', node=[_CALLED])
+# `founder`: whether the sender may found, because its disk is that of the first start
+kind(2, 'roll', _ROLL, (3, dict(_ROLL, met='S')), (4, _ROLL_CALLED), (5, dict(_ROLL_CALLED, founder='b')))
 kind(3, 'pulse', {'sequence': 'l'})
 kind(4, 'suspect', {'name': 's', 'by': 's', 'gone': 'b'})
 # --- replicated groups
