Complete a founding that only some founders have on disk

Cause: each founder founds by itself. If power is lost just then and fewer than a majority have the founding on disk, the others stay empty: they ask a leader for it, and there can be none. Nobody ever led again.

It has the incarnation that the founding names, so it never acknowledged anything and takes the place it would have had; one that lost its disk has another incarnation and is told nothing. Simulated: one and two of three founders synced, three and five machines, and 23 ms steps through the first start; all led and agreed on one membership. With the telling taken out, tests of it fail.

--- a/asterwharf/consensus/replica.py
+++ b/asterwharf/consensus/replica.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from asterwharf.consensus.election import Election
+from asterwharf.consensus.founding import Founding
 from asterwharf.consensus.log import CHANGE, MEMBERSHIP, Entry, Log, Voter
 from asterwharf.consensus.outbox import Message, Outbox, WriteBatch
 from asterwharf.consensus.replication import Replication
@@ -37,7 +38,7 @@
     results: list[Result]
 
 
-class Replica(Election, Replication, SnapshotReceiver):
+class Replica(Election, Founding, Replication, SnapshotReceiver):
     """Takes messages, ticks and sync notices; leaves messages, write batches and results."""
 
     __slots__ = (
@@ -192,15 +193,6 @@
             self.finish(token, None)
         self.pending = {}
 
-    # --- founding: only when all have met and all are empty
-    def found(self, members):
-        """Founds the group with `members`: name -> incarnation."""
-        assert self.empty
-        self.log = Log(members=members)
-        self.save_meta()
-        self.change_state(State.FOLLOWER, 'founded')
-        self.reset_election_timer()
-
     # --- what is kept
     def save_meta(self):
         """Puts view, vote and the bounds of log and snapshot into the next sync."""
@@ -301,9 +293,11 @@
             self.leadership.on_snapshot_reply(source, message)
 
     def on_join_request(self, source, message):
-        """A learner's request, for the leader."""
+        """A learner's request, for the leader; before there is one, founders help each other."""
         if self.leadership:
             self.leadership.on_join_request(source, message)
+        elif message['op'] < 0:
+            self._tell_founding(source, message['inc'])
 
     # --- what the host asks of it
     def propose(self, raw, token):
--- a/asterwharf/consensus/snapshot.py
+++ b/asterwharf/consensus/snapshot.py
@@ -1,5 +1,6 @@
 """Snapshots: how the rows on disk move up to what is committed, and how a replica far behind gets them. Pure."""
 
+from asterwharf.consensus.founding import UNLED
 from asterwharf.consensus.log import Log
 from asterwharf.consensus.progress import SnapshotTransfer
 
@@ -29,6 +30,8 @@
 
     def on_install_snapshot(self, source, message):
         """Collects the parts of a snapshot and installs it with the last."""
+        if message['view'] == UNLED:
+            return self._join_founding(message['seats'])
         if message['view'] < self.view:
             return
         self.enter_view(message['view'], source)
--- a/tests/test_founding.py
+++ b/tests/test_founding.py
@@ -2,6 +2,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from asterwharf.base.settings import Settings
 from asterwharf.disk.founding import Founding
 from asterwharf.disk.store import Store
@@ -46,7 +48,7 @@
 def one_group(f):
     """All that have seats agree on who has them."""
     for g in GROUPS:
-        got = {tuple(sorted(f.chair(n, g).seat.log.seats.items())) for n in f.core if f.node(n)} - {()}
+        got = {tuple(sorted(f.member(n, g).replica.log.members.items())) for n in f.core if f.node(n)} - {()}
         assert len(got) == 1, got
 
 
@@ -59,6 +61,53 @@
         f.w.after(100 + 150 * i, f.w.start, n)
 
 
+@pytest.mark.parametrize('seed', range(3))
+@pytest.mark.parametrize('core', [3, 5])
+def test_it_is_founded_whenever_all_processes_are_killed_at_the_first_start(seed, core):
+    f = platform(seed, core)
+    assert led(f)
+    whole = f.w.t
+    for at in range(101, whole, 23):
+        f = platform(seed, core)
+        f.w.run(at)
+        end_all(f)
+        assert led(f), (at, [founded(f, n) for n in f.core])
+        f.w.run(f.w.t + 5000)
+        one_group(f)
+
+
+def half_founded(seed, core, kept):
+    """A fleet of which just `kept` founders have synced the founding."""
+    for near in range(20):
+        f = platform(seed + 100 * near, core)
+        assert f.w.until(lambda: sum(founded(f, n) for n in f.core[:3]) >= kept, 20000, step=1)
+        if sum(founded(f, n) for n in f.core[:3]) == kept:
+            return f
+    raise AssertionError('all synced in the same millisecond each time')
+
+
+@pytest.mark.parametrize('seed', range(4))
+@pytest.mark.parametrize('core', [3, 5])
+@pytest.mark.parametrize('kept', [1, 2])
+def test_a_founding_that_only_some_have_synced_is_completed(seed, core, kept):
+    f = half_founded(seed, core, kept)
+    end_all(f)
+    assert led(f)
+    f.w.run(f.w.t + 5000)
+    one_group(f)
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_one_disk_lost_before_the_founding_does_not_stop_it(seed):
+    f = platform(seed)
+    f.w.run(110)
+    assert not any(founded(f, n) for n in f.core)
+    end_all(f, wiped=[f.core[1]])
+    assert led(f)
+    f.w.run(f.w.t + 5000)
+    one_group(f)
+
+
 def test_a_minority_of_founders_begins_no_second_group():
     """Two of three disks are lost: the third may have been cut off since its first second, and others may have gone on."""
     f = platform(5)
