--- a/asterwharf/consensus/replica.py
+++ b/asterwharf/consensus/replica.py
@@ -68,6 +68,7 @@
         'rows',
         'settings',
         'snapshot_parts',
+        'snapshot_transfer',
         'started_at',
         'state',
         'state_changes',
@@ -88,7 +89,7 @@
         self.leader, self.leadership = '', None
         # whether the process was told to end, and whether a leader has said that it is not needed any more
         self.leaving, self.released = False, False
-        self.log, self.rows, self.snapshot_parts = Log(), {}, []
+        self.log, self.rows, self.snapshot_parts, self.snapshot_transfer = Log(), {}, [], None
         # proposals by index: (view, token); the last membership change that is known to be committed
         self.pending, self.membership_committed = {}, 0
         self.results, self.state_changes = [], []
--- a/asterwharf/consensus/snapshot.py
+++ b/asterwharf/consensus/snapshot.py
@@ -6,6 +6,8 @@
 
 # the number of the last part in the reply that says the snapshot is installed
 INSTALLED = -1
+# the number in the reply of a replica that lacks the parts before, because it has restarted: all over again
+RESTART = -2
 
 
 class SnapshotReceiver:
@@ -38,13 +40,15 @@
         self.leader_heard = self.now
         if message['op'] <= self.commit_index and not self.empty:
             return self._reply_snapshot(source, message, INSTALLED)
-        if message['part'] == 0:
-            self.snapshot_parts = []
+        transfer = source, message['view'], message['op']
+        if transfer != self.snapshot_transfer:
+            self.snapshot_transfer, self.snapshot_parts = transfer, []
         if message['part'] < len(self.snapshot_parts):
             # received already; only our reply was lost
             return self._reply_snapshot(source, message, message['part'])
-        if message['part'] != len(self.snapshot_parts):
-            return
+        if message['part'] > len(self.snapshot_parts):
+            # the parts before went to an earlier life of this process
+            return self._reply_snapshot(source, message, RESTART)
         self.snapshot_parts.append(message['rows'])
         if message['last']:
             self._install(message)
@@ -56,7 +60,7 @@
 
     def _install(self, message):
         self.rows = {r['k']: r['v'] for part in self.snapshot_parts for r in part}
-        self.snapshot_parts = []
+        self.snapshot_transfer, self.snapshot_parts = None, []
         self._prove_rows()
         self.machine.load(self.rows)
         index, view = message['op'], message['stamp']
@@ -119,6 +123,9 @@
         progress.heard_at = self.replica.now
         if message['part'] == INSTALLED:
             progress.next_index, progress.snapshot = message['op'] + 1, None
+        elif message['part'] == RESTART and progress.part:
+            progress.part = 0
+            self._send_part(source, progress)
         elif message['part'] == progress.part:
             progress.part += 1
             self._send_part(source, progress)
