Bound the log by bytes, and keep it for a follower that is being brought up

Cause: the log was cut after 2,000 changes whatever their size, and each change of the configuration holds a whole document. With 20,000 items (243 KB as kept) the 96 MiB of a small core machine were full after 406 changes: every member ended with a full disk at the same change, and again after each start. Resident memory stood at 179 MB after 400 changes and at 221 MB after a restart.

--- a/asterwharf/base/settings.py
+++ b/asterwharf/base/settings.py
@@ -49,6 +49,8 @@
     # silence after which a newcomer takes the seat of one that is lost
     lost_ratio: float = 30.0
     keep_log: int = 2000
+    # bytes of log entries between two checkpoints at most
+    keep_bytes: int = 16777216
     chunk: int = 262144
 
 
--- a/asterwharf/consensus/log.py
+++ b/asterwharf/consensus/log.py
@@ -22,6 +22,11 @@
     def __init__(self, index, view, entry_kind, body=b''):
         self.index, self.view, self.kind, self.body = index, view, entry_kind, body
 
+    @property
+    def size(self):
+        """Bytes that the entry takes in memory, on disk and in a message, about."""
+        return len(self.body) + ENTRY_OVERHEAD
+
     def to_wire(self):
         """The entry as a field of an append message."""
         return {'op': self.index, 'view': self.view, 'kind': self.kind, 'body': self.body}
@@ -60,11 +65,13 @@
 class Log:
     """Entries after `cut_index`; what lies before is only in the snapshot, which stands at `snapshot_index`."""
 
-    __slots__ = ('cut_index', 'cut_view', 'entries', 'memberships', 'snapshot_index', 'snapshot_view')
+    __slots__ = ('cut_index', 'cut_view', 'entries', 'memberships', 'size', 'snapshot_index', 'snapshot_view')
 
     def __init__(self, cut_index=0, cut_view=0, snapshot_index=0, snapshot_view=0, members=None):
         self.cut_index, self.cut_view = cut_index, cut_view
         self.snapshot_index, self.snapshot_view = snapshot_index, snapshot_view
+        # `size`: bytes of all entries
+        self.size = 0
         self.entries, self.memberships = [], [Membership(snapshot_index, dict(members or {}))]
 
     @property
@@ -115,6 +122,7 @@
             # after a snapshot was installed the log begins behind it
             self.cut_index, self.cut_view = entry.index - 1, self.view_at(entry.index - 1) or 0
         self.entries.append(entry)
+        self.size += entry.size
         if entry.kind == MEMBERSHIP and entry.index > self.snapshot_index:
             change = json.loads(entry.body)
             members = dict(self.members)
@@ -124,7 +132,9 @@
 
     def truncate(self, index):
         """Cuts every entry from `index` on; the memberships go back with them."""
-        del self.entries[index - self.cut_index - 1 :]
+        keep = index - self.cut_index - 1
+        self.size -= sum(entry.size for entry in self.entries[keep:])
+        del self.entries[keep:]
         while len(self.memberships) > 1 and self.memberships[-1].index >= index:
             self.memberships.pop()
 
@@ -133,7 +143,9 @@
         entry = self.at(index)
         if entry is None:
             return
-        del self.entries[: index - self.cut_index]
+        gone = index - self.cut_index
+        self.size -= sum(entry.size for entry in self.entries[:gone])
+        del self.entries[:gone]
         self.cut_index, self.cut_view = index, entry.view
 
     def move_snapshot(self, index):
@@ -142,12 +154,22 @@
         while len(self.memberships) > 1 and self.memberships[1].index <= index:
             self.memberships.pop(0)
 
+    def tail(self, index, entries, size):
+        """The last index to drop so that of the entries up to `index` at most so many, and so many bytes, stay."""
+        kept = 0
+        while index > self.cut_index and entries > 0:
+            kept += self.at(index).size
+            if kept > size:
+                break
+            index, entries = index - 1, entries - 1
+        return index
+
     def slice(self, start, size):
         """Entries from `start` on, up to about `size` bytes, at least one."""
         out, total = [], 0
         for entry in self.entries[start - self.cut_index - 1 :]:
-            if out and total + len(entry.body) > size:
+            if out and total + entry.size > size:
                 break
             out.append(entry)
-            total += len(entry.body) + ENTRY_OVERHEAD
+            total += entry.size
         return out
--- a/asterwharf/consensus/replica.py
+++ b/asterwharf/consensus/replica.py
@@ -42,6 +42,7 @@
     """Takes messages, ticks and sync notices; leaves messages, write batches and results."""
 
     __slots__ = (
+        'bytes_since_checkpoint',
         'commit_index',
         'counters',
         'election_due',
@@ -86,7 +87,7 @@
         self.group, self.name, self.incarnation, self.settings = group, name, incarnation, settings
         self.rng, self.machine, self.now, self.wall, self.started_at = rng, machine, now, now, now
         self.view, self.vote, self.votes, self.commit_index = 0, '', set(), 0
-        self.leader, self.leadership = '', None
+        self.leader, self.leadership, self.bytes_since_checkpoint = '', None, 0
         # whether the process was told to end, and whether a leader has said that it is not needed any more
         self.leaving, self.released = False, False
         self.log, self.rows, self.snapshot_parts, self.snapshot_transfer = Log(), {}, [], None
--- a/asterwharf/consensus/replication.py
+++ b/asterwharf/consensus/replication.py
@@ -75,11 +75,12 @@
         while self.commit_index < index:
             self.commit_index += 1
             entry = self.log.at(self.commit_index)
+            self.bytes_since_checkpoint += entry.size
             value = self.machine.apply(entry.index, entry.body) if entry.kind == CHANGE else None
             if entry.kind == MEMBERSHIP:
                 # kept, or a restart would doubt a membership change that is long committed
                 self.membership_committed = entry.index
                 self.save_meta()
             self._answer_proposal(entry, value)
-        if self.commit_index - self.log.snapshot_index > self.settings.keep_log:
+        if self._checkpoint_due():
             self._checkpoint()
--- a/asterwharf/consensus/snapshot.py
+++ b/asterwharf/consensus/snapshot.py
@@ -4,6 +4,10 @@
 from asterwharf.consensus.log import Log
 from asterwharf.consensus.progress import SnapshotTransfer
 
+# of the bounds on the log: how much stays at most for a follower that is being brought up
+HELD = 2
+# of the bound on silence: the log is kept for a follower that was heard in this time
+HEARD = 5
 # the number of the last part in the reply that says the snapshot is installed
 INSTALLED = -1
 # the number in the reply of a replica that lacks the parts before, because it has restarted: all over again
@@ -26,10 +30,24 @@
             else:
                 self.rows[key] = value
         self.log.move_snapshot(self.commit_index)
-        batch.drop = self.commit_index - self.settings.keep_log // 2
+        self.bytes_since_checkpoint = 0
+        batch.drop = self._cut()
         self.log.drop_through(batch.drop)
         self.save_meta()
 
+    def _checkpoint_due(self):
+        entries = self.commit_index - self.log.snapshot_index
+        return entries > self.settings.keep_log or self.bytes_since_checkpoint > self.settings.keep_bytes
+
+    def _cut(self):
+        """The last index to drop: half of the bounds stays, and more while a follower in hearing needs it."""
+        settings, log = self.settings, self.log
+        usual = log.tail(self.commit_index, settings.keep_log // 2, settings.keep_bytes // 2)
+        if self.leadership is None:
+            return usual
+        most = log.tail(self.commit_index, settings.keep_log * HELD, settings.keep_bytes * HELD)
+        return max(most, min(usual, self.leadership.needed_after()))
+
     def on_install_snapshot(self, source, message):
         """Collects the parts of a snapshot and installs it with the last."""
         if message['view'] == UNLED:
@@ -115,6 +133,19 @@
             },
         )
 
+    def needed_after(self):
+        """The last index that every replica in hearing has, or will have by the snapshot that goes to it."""
+        replica = self.replica
+        far = replica.settings.silence_ms * HEARD
+        return min(
+            (
+                progress.snapshot.index if progress.snapshot else progress.acked_index
+                for progress in self.progress.values()
+                if replica.now - progress.heard_at < far and (progress.snapshot or progress.acked_index)
+            ),
+            default=replica.commit_index,
+        )
+
     def on_snapshot_reply(self, source, message):
         """The replica has a part: the next one goes out, or it is followed by entries."""
         progress = self.progress.get(source)
--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -47,6 +47,8 @@
     def __init__(self, rate=10**9, **view):
         self.view = View(silence_ms=700, **view)
         self.now, self.rate, self.disks = 0, rate, {n: Disk(f'inc-{n}') for n in NAMES}
+        # names whose links have another rate
+        self.rates = {}
         self.alive, self.way, self.sent, self.starts = {}, {}, {}, 0
         for n in NAMES:
             self.start(n)
@@ -82,7 +84,8 @@
         raw = pack(message.kind, message.body)
         queue = self.way.setdefault((source, message.destination), [])
         begin = max(self.now, queue[-1][0] if queue else 0)
-        queue.append((begin + len(raw) / self.rate + 1, message.kind, raw))
+        rate = min(self.rates.get(source, self.rate), self.rates.get(message.destination, self.rate))
+        queue.append((begin + len(raw) / rate + 1, message.kind, raw))
         self.sent[message.kind] = self.sent.get(message.kind, 0) + len(raw)
         if message.kind == 'install_snapshot' and message.body['part'] == 0:
             self.starts += 1
@@ -183,3 +186,21 @@
     assert group.until(lambda: group.leader not in ('', old) and group.level(name), 25000)
     assert group.starts - was <= 3
     same(group)
+
+
+def test_the_log_is_bounded_by_its_bytes():
+    """Hundreds of changes of a large document: memory and disk hold only so much of them."""
+    group = Group(keep_log=2000, keep_bytes=2 << 20)
+    assert group.until(lambda: group.leader, 5000)
+    for i in range(200):
+        group.put('document', 250_000, i + 1)
+        group.go()
+    for name, replica in group.alive.items():
+        assert replica.log.size <= 4 << 20, name
+        assert sum(len(raw) for _, raw in group.disks[name].load('g')['log']) <= 4 << 20, name
+    assert all(r.commit_index > 190 for r in group.alive.values())
+    name = next(n for n in NAMES if n != group.leader)
+    group.kill(name)
+    group.start(name)
+    assert group.until(lambda: group.level(name), 5000)
+    same(group)
