--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -49,6 +49,8 @@
         self.now, self.rate, self.disks = 0, rate, {n: Disk(f'inc-{n}') for n in NAMES}
         # names whose links have another rate
         self.rates = {}
+        # names whose links have another rate
+        self.rates = {}
         self.alive, self.way, self.sent, self.starts = {}, {}, {}, 0
         for n in NAMES:
             self.start(n)
@@ -174,8 +176,9 @@
 
 @pytest.mark.parametrize('moment', range(200, 1800, 200))
 def test_a_leader_that_changes_in_the_middle_of_a_snapshot_costs_one_more(moment):
-    group = Group(rate=50, keep_log=30, chunk=4000)
+    group = Group(keep_log=30, chunk=4000)
     name = away(group, 120, size=1500)
+    group.rates[name] = 50
     group.start(name)
     was = group.starts
     group.go(moment)
