Confirm with a majority before an order is called invalid

Cause: a leader that had been deposed answered bad_config (400) by its own old state, unconfirmed; only stale (412) was confirmed. Reproduced: a leader cut off from all others refused an invalid change at once. Every refusal is confirmed now, and the memory of accepted orders is asked again after it.

--- a/asterwharf/scheduler/clerk.py
+++ b/asterwharf/scheduler/clerk.py
@@ -178,14 +178,20 @@
             return self._sure(self.core, give, lambda: give(*(self._settled(marks, base) or ('unsure', NOBODY))))
         if got:
             return give(*got)
-        # from here on mistakes are the same whoever finds them: the document under the base never changes
+        def refuse(mistake):
+            # nor may it for a mistake: an order that was accepted since isn't called invalid
+            def confirmed():
+                now = self._settled(marks, base)
+                give(*(now if now and now[0] == 'ok' else (mistake.code, {'details': mistake.more})))
+            self._sure(self.core, give, confirmed)
+
         new = make(req)
         if new.is_error():
-            return give(new.error.code, {'details': new.error.more})
+            return refuse(new.error)
 
         def done(res):
             if res.is_error():
-                return give(res.error.code, {'details': res.error.more})
+                return refuse(res.error)
             # while a replica of an earlier release is there, the digest that it would look for
             mark = marks[0] if self.core.floor >= SINGLE_ROWS_PROTOCOL else marks[1]
             doc = {'number': res.ok, 'base': base, 'by': str(a.get('by') or '')[:64], 'at': self.core.wall, 'sum': mark,
--- a/tests/test_accepted_orders.py
+++ b/tests/test_accepted_orders.py
@@ -302,3 +302,31 @@
         f.w.start(n)
         f.w.run(f.w.t + 4000)
     assert insist(f, 'queues_put', doc=d, base=0) == ('ok', {'number': 1})
+
+
+# --- an unconfirmed replica refuses nothing
+def test_a_deposed_leader_calls_nothing_invalid():
+    f = fleet(64)
+    assert put(f, doc(1), 0)[0] == 'ok'
+    old = f.holder('core')
+    f.w.part([old], [n for n in f.core + f.edges if n != old])
+    bad = doc(2, queues=[queue(1, group='nobody')])
+    got = send(f, 'queues_put', old, doc=bad, base=1)
+    f.w.run(f.w.t + 20)
+    assert not got
+    assert f.w.until(lambda: got, 15000) and got[0][0] in ('unsure', 'no_holder')
+
+
+def test_a_deposed_leader_calls_no_accepted_change_invalid():
+    f = fleet(65)
+    assert put(f, doc(1), 0)[0] == 'ok'
+    old = f.holder('core')
+    f.w.part([old], [n for n in f.core + f.edges if n != old])
+    # what it has of version 1 says nothing of the order that builds on version 3
+    change = {'base': 3, 'number': 4, 'set': {}, 'drop': {'queues': ['q2']}}
+    got = send(f, 'queues_change', old, **change)
+    assert f.w.until(lambda: f.holder('core') not in ('', old), 15000)
+    assert insist(f, 'queues_put', doc=doc(3), base=1)[0] == 'ok' and insist(f, 'queues_change', **change)[0] == 'ok'
+    f.w.heal()
+    assert f.w.until(lambda: got, 15000) and got[0] in (('ok', {'number': 4}), ('unsure', {'retry_ms': 1000}))
+    assert insist(f, 'queues_change', at=(old,), **change) == ('ok', {'number': 4})
