Acknowledge a repeated configuration of the own interface

Cause: PUT /v1/config knew an order by its base alone, so the order that was sent again after a lost answer was refused (412), and its cells' seats were checked against what the replica knew before anything else (bad_config, unconfirmed). The record of a configuration carries the order's digest (protocol 5); accepted ones share the memory of orders. While a replica of protocol 4 is there nothing changes.

--- a/asterwharf/scheduler/clerk.py
+++ b/asterwharf/scheduler/clerk.py
@@ -90,15 +90,33 @@
         self.b.chore(config.checking(raw), done)
 
     def do_config_put(self, a, give, cell):
-        self._good(a['config'], give, lambda got: self._put(a, give))
+        # in a field of its own: a queues document of the same content is another order
+        request = {'config': a['config']}
+        text = queues.text(request)
+        if text.is_error():
+            return give(text.error.code, {'details': text.error.more})
 
-    def _put(self, a, give):
-        doc = {'sequence': 0, 'base': a['base'], 'by': a.get('by', ''), 'at': self.core.wall,
-               'doc': config.squeeze(a['config'])}
+        def marked(marks):
+            def known():
+                return self.core.mac.accepted.number(marks[0])
 
-        def then(r):
-            give('ok' if r['ok'] else 'stale', {'sequence': r['sequence']})
-        self._order(self.core, 'c_config', doc, give, then)
+            def refuse(code, body):
+                # a holder that was deposed may know less than its successor: it must not refuse
+                self._sure(self.core, give, lambda: give(code, body) if known() is None else accept(known()))
+
+            def accept(sequence):
+                give('ok', {'sequence': sequence})
+
+            if known() is not None:
+                return accept(known())
+            self._good(a['config'], refuse, lambda got: self._put(a, marks[0], give))
+        self.b.chore(order_digest.marking(a['base'], request, text.ok), marked)
+
+    def _put(self, a, mark, give):
+        doc = {'sequence': 0, 'base': a['base'], 'by': a.get('by', ''), 'at': self.core.wall,
+               'doc': config.squeeze(a['config']), 'sum': mark}
+        self._order(self.core, 'c_config', doc, give,
+                    lambda r: give('ok' if r.accepted else 'stale', {'sequence': r.number}))
 
     def do_history(self, a, give, cell):
         def fn():
--- a/asterwharf/scheduler/core.py
+++ b/asterwharf/scheduler/core.py
@@ -42,6 +42,7 @@
                 continue
             d = unpack(raw, self.reads)[1]
             if k == 'conf':
+                del d['sum']
                 self.conf = d
             else:
                 self.atlas.merge([(d['k'], d['op'], d['v'])])
@@ -81,12 +82,19 @@
         self.dirty.add(k)
 
     def c_config(self, op, d):
+        """An order of a configuration: the OrderResult."""
+        digest = d.pop('sum')
+        known = self.accepted.number(digest) if digest else None
+        if known is not None:
+            return OrderResult(known, accepted=True)
         # the base is looked at here, in the one order, so rivals can't both win
         if d['base'] != self.sequence:
-            return {'ok': False, 'sequence': self.sequence}
+            return OrderResult(self.sequence, stale=True)
         self.conf = dict(d, sequence=self.sequence + 1)
         self.dirty.add('conf')
-        return {'ok': True, 'sequence': self.sequence}
+        if digest:
+            self.accepted.add(digest, self.sequence, op)
+        return OrderResult(self.sequence, accepted=True)
 
     def c_queues(self, op, d):
         """An order of operators: the OrderResult."""
--- a/asterwharf/wire/kinds.py
+++ b/asterwharf/wire/kinds.py
@@ -126,7 +126,9 @@
 kind(54, 'attach', {'edge': 's', 'links': [{'minion': 's', 'link': 'l'}]})
 kind(55, 'detach', {'minion': 's', 'link': 'l', 'why': 's'})
 # --- changes of the core group
-kind(100, 'c_config', {'sequence': 'l', 'base': 'l', 'by': 's', 'at': 'l', 'doc': 'y'})
+_CONFIG = {'sequence': 'l', 'base': 'l', 'by': 's', 'at': 'l', 'doc': 'y'}
+# `sum`: the digest of the order; earlier releases know a configuration by its base alone
+kind(100, 'c_config', _CONFIG, (5, dict(_CONFIG, sum='s')))
 kind(101, 'c_node', dict(_NODE, sight='b'))
 kind(102, 'c_cell', (2, {'name': 's', 'on': 'b', 'seats': 'j'}))
 kind(103, 'c_own', (2, {'what': 's', 'was': 's', 'cell': 's'}))
