--- a/asterwharf/fleet/judge.py
+++ b/asterwharf/fleet/judge.py
@@ -71,6 +71,7 @@
                 job = f'{ten}/{jid}'
                 if job not in self.obs.asked:
                     self.obs.gangs(job)
+        self.obs.config_judged()
         return self.obs
 
 
--- a/asterwharf/fleet/live.py
+++ b/asterwharf/fleet/live.py
@@ -276,6 +276,7 @@
             e = self.edges[len(box) % len(self.edges)]
             cur = self.ask(e, 'GET', '/v1/config')[1]
             doc = change(cur['config'])
+            self.confs.append((wall_ms(), 'config_asked', (doc, cur['sequence'], 'fleet')))
             sts, got = self.ask(e, 'PUT', '/v1/config', doc, {'If-Match': str(cur['sequence'])})
             if sts == 200:
                 box.append((cur['sequence'], got['sequence']))
--- a/asterwharf/fleet/operators.py
+++ b/asterwharf/fleet/operators.py
@@ -42,13 +42,13 @@
                 return again()
             self.note('config_read', cur['sequence'], cur['config'], since)
             doc, base = change(cur['config']), cur['sequence']
-            self.note('config_asked', doc)
+            self.note('config_asked', doc, base, by)
 
             def put(sts2, got, hds2):
                 if sts2 == 200:
                     return self.note('config_told', base, got['sequence'], doc, by)
                 if sts2 == 412:
-                    self.note('config_refused')
+                    self.note('config_refused', doc, base)
                 again(self.c.rng.randint(50, 500))
 
             heads = [('If-Match', str(base)), ('X-Operator', by), *self.c.heads]
--- a/asterwharf/sim/actors.py
+++ b/asterwharf/sim/actors.py
@@ -101,13 +101,13 @@
                 return self.w.after(300, self.configure, change, by, tries - 1)
             self.obs.config_read(body['sequence'], body['config'], since)
             doc, base = change(body['config']), body['sequence']
-            self.obs.config_asked(doc)
+            self.obs.config_asked(doc, base, by)
 
             def then(code2, b2):
                 if code2 == 'ok':
                     return self.obs.config_told(base, b2['sequence'], doc, by)
                 if code2 == 'stale':
-                    self.obs.config_refused()
+                    self.obs.config_refused(doc, base)
                 # unsure: it may have been taken; reading it again tells
                 self.w.after(300, self.configure, change, by, tries - 1)
 
--- a/asterwharf/sim/observer.py
+++ b/asterwharf/sim/observer.py
@@ -5,6 +5,8 @@
 processes could bring to a majority in time, and a second copy beside an agent that is dead or frozen.
 """
 
+from asterwharf.sim.register_history import RegisterHistory
+
 CANCEL_START, CANCEL_RUN, DRAIN, ZONE, UNKNOWN, CONFIG = 3000, 1000, 2000, 5000, 3000, 2000
 # looking goes on in steps; nothing is called late by less than one of them
 STEP = 300
@@ -19,6 +21,7 @@
         self.specs, self.kept, self.refused, self.cancels, self.final = {}, {}, {}, {}, {}
         self.drains, self.zones, self.emptied, self.acks, self.seen = {}, {}, {}, [], {}
         self.late, self.crashes, self.holds = set(), {}, {}
+        self.register = RegisterHistory()
         self.count = {
             'starts': 0,
             'done': 0,
@@ -268,13 +271,15 @@
         self.asked.add(job)
 
     # --- configurations
-    def config_asked(self, doc):
+    def config_asked(self, doc, base, by=''):
         """A change on its way may be in force before, or without, its answer."""
+        self.register.asked(self.now(), doc, base, by)
         for z, v in doc.get('zones', {}).items():
             if not v.get('emptied'):
                 self.emptied.pop(z, None)
 
-    def config_refused(self):
+    def config_refused(self, doc, base):
+        self.register.refused(self.now(), doc, base)
         # certainly not taken: what was in force before still is
         if self.acks:
             for z, v in max(self.acks, key=lambda a: a[1])[2].get('zones', {}).items():
@@ -282,6 +287,7 @@
                     self.emptied.setdefault(z, self.now())
 
     def config_told(self, base, seq, doc, by):
+        self.register.acknowledged(self.now(), doc, base)
         for b, s, _, w, _ in self.acks:
             if b == base:
                 self.no('two rival changes both acknowledged', base=base, by=(w, by))
@@ -295,6 +301,7 @@
                 self.emptied.pop(z, None)
 
     def config_read(self, seq, doc, since):
+        self.register.read(since, self.now(), seq, doc)
         # a read may miss what was acknowledged after it was asked
         got = max((s for _, s, _, _, at in self.acks if at <= since), default=0)
         if seq < got:
@@ -303,6 +310,12 @@
             if s == seq and d != doc:
                 self.no('a configuration was altered', sequence=seq)
 
+    def config_judged(self):
+        """At the end: all that operators saw must be that of one register."""
+        why = self.register.complaint()
+        if why:
+            self.no('the operators saw no single register', why=why)
+
     def in_force(self, node, life, seq):
         old = self.seen.get((node, life), 0)
         if seq < old:
--- a/asterwharf/sim/scenarios.py
+++ b/asterwharf/sim/scenarios.py
@@ -88,6 +88,7 @@
         for j in f.obs.kept:
             if j not in f.obs.cancels and j not in f.obs.asked:
                 f.obs.gangs(j)
+    f.obs.config_judged()
     f.obs.count['overlap_ms'] = max([ms for ms, _ in f.obs.overlaps], default=0)
     f.obs.count.update({f'suspected_{k}': v for k, v in f.w.sight.items()})
     why += [w for w in (c() for c in f.checks) if w]
--- a/asterwharf/sim/yard_config.py
+++ b/asterwharf/sim/yard_config.py
@@ -3,17 +3,18 @@
 A version shows only by its effects: a route that is there, or is not, in a node's answer to a request.
 """
 
+from asterwharf.sim.history_checker import History, Outcome, Result, check, content_digest
 from asterwharf.sim.yard_sight import OUT, OUTER
 
 
 class Version:
     """A configuration that an operator has sent: whole, as it would be in force."""
 
-    __slots__ = ('acked', 'base', 'by', 'doc', 'number', 'refused', 'routes', 'sent', 'valid')
+    __slots__ = ('acked', 'base', 'by', 'call', 'doc', 'number', 'refused', 'routes', 'sent', 'valid')
 
     def __init__(self, number, base, doc, valid, by, sent):
         self.number, self.base, self.doc, self.valid, self.by, self.sent = number, base, doc, valid, by, sent
-        self.acked, self.refused = None, None
+        self.acked, self.refused, self.call = None, None, None
         # what cannot be read has no routes
         qs = doc.get('queues') if isinstance(doc, dict) else None
         self.routes = {
@@ -24,17 +25,18 @@
 class Versions:
     """The book of versions; cries `no('CONFIG', ...)`."""
 
-    __slots__ = ('bounds', 'count', 'lows', 'no', 'now', 'sent', 'sight')
+    __slots__ = ('bounds', 'count', 'history', 'lows', 'no', 'now', 'sent', 'sight')
 
     def __init__(self, now, bounds, sight, no, count):
         self.now, self.bounds, self.sight, self.no, self.count = now, bounds, sight, no, count
         # of each node's life: (time, lowest version that its answers prove)
-        self.sent, self.lows = [], {}
+        self.sent, self.lows, self.history = [], {}, History()
 
     # --- operators
     def send(self, number, base, doc, valid, by):
         """An operator's order is on its way for the first time."""
         v = Version(number, base, doc, valid, by, self.now())
+        v.call = self.history.invoke('replace', v.sent, base, number, content_digest(doc), valid=valid, client=by)
         self.sent.append(v)
         return v
 
@@ -42,6 +44,7 @@
         if v.acked is not None:
             return
         v.acked = self.now()
+        self.history.returned(v.call, Result.OK, v.acked)
         if not v.valid:
             self.no('CONFIG', what='an invalid configuration was acknowledged', number=v.number, by=v.by)
         for o in self.sent:
@@ -58,6 +61,8 @@
     def refuse(self, v, code):
         if v.refused is None:
             v.refused = self.now()
+            if v.acked is None:
+                self.history.returned(v.call, Result.STALE if code == 'stale' else Result.INVALID, v.refused)
         if v.acked is not None:
             self.no('CONFIG', what='acknowledged, then refused', number=v.number, code=code)
         # refused on top of the newest with nobody racing: a duty, not a rule
@@ -118,6 +123,8 @@
     def read(self, doc, asked, why='read back'):
         """A configuration was read; `asked`: when the request was sent."""
         num = doc.get('number') if isinstance(doc, dict) else None
+        call = self.history.invoke('read', asked)
+        self.history.returned(call, Result.OK, self.now(), num or 0, content_digest(doc) if num else '')
         want = max((v.number for v in self.sent if v.acked is not None and v.acked <= asked), default=0)
         if not isinstance(num, int) or num < want:
             return self.no('CONFIG', what=f'{why}: older than what was acknowledged', read=num, acknowledged=want)
@@ -127,3 +134,11 @@
         elif not any(v.doc == doc and v.valid and v.refused is None for v in same):
             self.no('CONFIG', what=f'{why}: invalid, refused or lost its race', number=num)
         return None
+
+    def judge(self):
+        """At the end: all that operators were told must be that of one register."""
+        verdict = check(self.history.operations)
+        if verdict.outcome is Outcome.VIOLATED:
+            self.no('CONFIG', what='the operators saw no single register', why=verdict.reason)
+        elif not verdict.ok:
+            self.no('FAULT', what='the history of configurations is undecided', why=verdict.reason)
--- a/asterwharf/sim/yard_days.py
+++ b/asterwharf/sim/yard_days.py
@@ -141,6 +141,7 @@
         f = self.fleet
         for t, n, code in f.net.twice[:3]:
             f.obs.no('FAULT', what='answered twice', node=n, at=t, code=code)
+        f.obs.versions.judge()
         for op, took in self.ops.late:
             f.obs.no('ACK', what='an order was not acknowledged in time', node=op, ms=took)
         if f.obs.count['refused_valid'] > 1:
--- a/tests/breaks.py
+++ b/tests/breaks.py
@@ -179,7 +179,7 @@
     def put(self, op, d):
         self.conf = dict(d, sequence=self.sequence + 1)
         self.dirty.add('conf')
-        return {'ok': True, 'sequence': self.sequence}
+        return core.OrderResult(self.sequence, accepted=True)
 
     mp.setattr(core.Core, 'c_config', put)
 
@@ -370,9 +370,9 @@
 
     old = clerk.Clerk._put
 
-    def put(self, a, give):
+    def put(self, a, mark, give):
         if self.b.rng.random() < 0.3:
             return give('ok', {'sequence': a['base'] + 1})
-        old(self, a, give)
+        old(self, a, mark, give)
 
     mp.setattr(clerk.Clerk, '_put', put)
--- a/tests/test_yard_judge.py
+++ b/tests/test_yard_judge.py
@@ -3,6 +3,8 @@
 import pytest
 from yard_desk import QUEUE, A, B, Story
 
+from asterwharf.sim.history_checker import content_digest
+
 
 def twice_at_once(s, bad):
     s.d.job()
@@ -332,3 +334,28 @@
     assert bad.rules() == [rule], bad.o.broken
     case(good, False)
     assert not good.rules(), good.o.broken
+
+
+def register_story(s, stale_read):
+    v = s.o.versions
+    v.ack(v.sent[0])
+    s.go(100)
+    x = v.send(5, 1, {'number': 5, 'queues': []}, True, 'op')
+    s.go(100)
+    v.read(x.doc, s.w.t)
+    s.go(100)
+    # what was read once may not vanish again, though nobody was told of it yet
+    v.read(v.sent[0].doc if stale_read else x.doc, s.w.t)
+    s.go(100)
+    v.ack(x)
+
+
+@pytest.mark.parametrize('stale_read', [False, True])
+def test_the_operators_history_is_judged_as_one_register(stale_read):
+    s = Story()
+    s.o.versions.sent[0].doc['number'] = 1
+    s.o.versions.history.operations[0].document = content_digest(s.o.versions.sent[0].doc)
+    register_story(s, stale_read)
+    assert not s.o.broken
+    s.o.versions.judge()
+    assert bool(s.o.broken) == stale_read
