--- a/asterwharf/consensus/election.py
+++ b/asterwharf/consensus/election.py
@@ -52,7 +52,7 @@
 
     def on_pre_vote(self, source, message):
         """Answers whether a vote would be granted; changes nothing here."""
-        ready = not self._lease_may_stand() and self.state != State.LEADER and self.state != State.LEARNER
+        ready = not self._lease_may_stand() and self.state != State.LEADER and not self.empty
         granted = ready and message['view'] > self.view and self._is_up_to_date(message)
         self.outbox.send(
             source,
@@ -85,8 +85,12 @@
             self.outbox.send_after_sync(name, 'request_vote', body)
 
     def on_request_vote(self, source, message):
-        """Votes once a view, for a candidate whose log is not behind ours, when no other's lease may stand."""
-        if self.state == State.LEARNER:
+        """Votes once a view, for a candidate whose log is not behind ours, when no other's lease may stand.
+
+        A learner with a log votes as well: it may be a member by a change that it has not received yet. The vote
+        counts only if the candidate's own membership names this incarnation.
+        """
+        if self.empty:
             return
         if self._lease_may_stand() and not message['appointed']:
             # the view stays as well: a leader that is heard goes on undisturbed
@@ -94,7 +98,7 @@
         if message['view'] > self.view:
             self.enter_view(message['view'], '')
         free = message['view'] == self.view and self.vote in ('', source)
-        granted = free and self.state == State.FOLLOWER and self._is_up_to_date(message)
+        granted = free and self.state in (State.FOLLOWER, State.LEARNER) and self._is_up_to_date(message)
         if granted and not self.vote:
             self.vote = source
             self.save_meta()
--- a/asterwharf/consensus/snapshot.py
+++ b/asterwharf/consensus/snapshot.py
@@ -58,6 +58,10 @@
         self.leader_heard = self.now
         if message['op'] <= self.commit_index and not self.empty:
             return self._reply_snapshot(source, message, INSTALLED)
+        if not self.empty and self.log.view_at(message['op']) == message['stamp']:
+            # the log holds all that the snapshot says; what follows may have been acknowledged and must stay
+            self.commit_to(message['op'])
+            return self._reply_snapshot(source, message, INSTALLED)
         transfer = source, message['view'], message['op']
         if transfer != self.snapshot_transfer:
             self.snapshot_transfer, self.snapshot_parts = transfer, []
