Grow a group only when each member has answered this leader

Cause (finding F2b of the model): a new leader took every member for heard just now, also one whose disk was lost, and grew at once. Since a change counts by quorums of both memberships the group goes on all the same; it only chose a bad moment.

--- a/asterwharf/consensus/membership.py
+++ b/asterwharf/consensus/membership.py
@@ -68,7 +68,8 @@
         progress = self.progress.get(name)
         if name not in replica.peers or progress is None:
             return False
-        heard = replica.now - progress.heard_at < replica.settings.silence_ms * FRESH
+        # a leader that has just begun knows only who has answered it
+        heard = progress.heartbeat > 0 and replica.now - progress.heard_at < replica.settings.silence_ms * FRESH
         return heard and self._is_current(name, progress)
 
     def in_sight(self, name):
