Set an unreadable store aside once and begin anew as another incarnation

Cause: a core process whose data file could not be read ended at each start and stayed down until an operator came, though the group could bring it up like a member that lost its disk.

Now every record is read at the start. A damaged file is set aside (never removed) and the store begun anew with a new incarnation and no word of the founders: it counts for nothing until the group has seated it again. A disk that refuses reading is told apart from damage and changes nothing. A file cut short is padded first: reading behind its end ended the process. Not found: damage inside a record (there is no checksum), and damage that ends lmdb itself.

--- a/asterwharf/base/alarms.py
+++ b/asterwharf/base/alarms.py
@@ -32,6 +32,11 @@
         'Make room or replace the disk, start it again.',
     ),
     'corrupt': (610, "The data folder can't be read; the process did not start.", 'Runbook "disk wiped".'),
+    'store_set_aside': (
+        612,
+        "The data file couldn't be read; it was set aside, and the process began anew with an empty one.",
+        'Nothing, unless it happens on several machines: then keep the files set aside. Look at the disk.',
+    ),
     'inner_fault': (611, 'A fault of ours, with its trace.', 'Report it.'),
 }
 
--- a/asterwharf/disk/store.py
+++ b/asterwharf/disk/store.py
@@ -15,7 +15,20 @@
 
 
 class Corrupt(Exception):
-    """The data folder can't be read; the runbook says what to do."""
+    """The data folder can't be read or written; the runbook says what to do."""
+
+
+class Unreadable(Corrupt):
+    """The store's content is damaged: another try would find the same."""
+
+
+# what lmdb raises where the content is at fault and not the disk
+_DAMAGE = (lmdb.InvalidError, lmdb.CorruptedError, lmdb.PageNotFoundError, ValueError)
+
+
+def _fault(error, where):
+    """Corrupt or Unreadable for what lmdb raised."""
+    return (Unreadable if isinstance(error, _DAMAGE) else Corrupt)(f'{where}: {error}')
 
 
 def _op(num):
@@ -44,10 +57,12 @@
                 self._create(founding)
             # an earlier process may have ended before it had synced the name of its file
             files.sync_folder(path)
+            self._pad()
             self.env = self._open(DATA)
             self.inc, self.founding = self._birth()
-        except lmdb.Error as e:
-            raise Corrupt(f'{path}: {e}') from None
+        except (lmdb.Error, OSError, ValueError) as e:
+            self.close()
+            raise _fault(e, path) from None
 
     def _file(self, name):
         return os.path.join(self.path, name)
@@ -60,6 +75,14 @@
             self._file(name), subdir=False, max_dbs=512, map_size=self.room, lock=False, metasync=False, sync=True
         )
 
+    def _pad(self):
+        """A file that was cut short is as long as its pages again: reading behind its end would end the process."""
+        env = self._open(DATA)
+        length = (env.info()['last_pgno'] + 1) * env.stat()['psize']
+        env.close()
+        if os.path.getsize(self._file(DATA)) < length:
+            os.truncate(self._file(DATA), length)
+
     def _create(self, founding):
         """Makes a store with its incarnation under another name first: one that bears `DATA` is whole and synced."""
         files.remove(self._file(MAKING))
@@ -78,7 +101,7 @@
         with self.env.begin(db=self._db(NODE)) as t:
             inc, founders = t.get(INCARNATION), t.get(FOUNDERS)
         if inc is None:
-            raise Corrupt(f'{self.path}: without an incarnation')
+            raise ValueError('without an incarnation')
         return inc.decode(), Founding(tuple(json.loads(founders))) if founders else None
 
     def _db(self, nam):
@@ -99,9 +122,26 @@
                 out['log'] = [(int.from_bytes(k, 'big'), bytes(b)) for k, b in t.cursor(db=l)]
                 out['rows'] = {k.decode(): bytes(b) for k, b in t.cursor(db=r)}
         except (lmdb.Error, ValueError) as e:
-            raise Corrupt(f'{self.path}: group {grp}: {e}') from None
+            raise _fault(e, f'{self.path}: group {grp}') from None
         return out
 
+    def check(self):
+        """Reads every record. Raises Unreadable where one can't be read, and closes the store."""
+        if self.env is None:
+            return
+        try:
+            with self.env.begin() as t:
+                names = [bytes(k) for k in t.cursor().iternext(values=False)]
+            for name in names:
+                db = self._db(name.decode())
+                with self.env.begin() as t:
+                    for _, value in t.cursor(db=db):
+                        if name.endswith(b'/meta'):
+                            json.loads(value)
+        except (lmdb.Error, ValueError) as e:
+            self.close()
+            raise _fault(e, self.path) from None
+
     def write(self, bts):
         """One transaction, one sync, for the batches of all groups: [(grp, batch)]."""
         if self.env is None:
