--- a/asterwharf/sim/model/__main__.py
+++ b/asterwharf/sim/model/__main__.py
@@ -37,7 +37,9 @@
     ask.add_argument('--minutes', type=float, default=1.0, help='how long to play the profiles')
     ask.add_argument('--seed', type=int, default=1, help='the first seed; the same seed is the same run')
     ask.add_argument('--profile', choices=sorted(PROFILES), help='only this one')
-    ask.add_argument('--depth', type=int, default=0, help='instead: every interleaving of the small model to this depth')
+    ask.add_argument(
+        '--depth', type=int, default=0, help='instead: every interleaving of the small model to this depth'
+    )
     ask.add_argument('--states', type=int, default=2_000_000, help='with --depth: stop after so many states')
     args = ask.parse_args()
     if args.depth:
--- a/asterwharf/sim/model/adapter.py
+++ b/asterwharf/sim/model/adapter.py
@@ -6,14 +6,13 @@
 from dataclasses import dataclass
 
 from asterwharf.base.settings import View
+from asterwharf.consensus.replica import Replica as ProductReplica
+from asterwharf.consensus.states import State
 from asterwharf.sim.hosts import Disk
-from asterwharf.view.seat import CANVASS, HOLDER, Seat
 
 GROUP = 'g'
 # of the silence bound: how long after an answered heartbeat was sent the leader may act without asking (orchard/tender.py)
 LEASE_RATIO = 0.8
-# message kinds by what they are for
-VOTE_REQUEST, SNAPSHOT, TRANSFER, PRE_VOTE = 'canvass', 'snap', 'succeed', 'sound'
 
 
 def settings(silence_ms=1000, keep_log=6, chunk=120, members=0, lost_ratio=8.0):
@@ -63,11 +62,11 @@
 
     def __init__(self, name, disk, cfg, rng, machine, now):
         self.machine = machine
-        self.core = Seat(GROUP, name, disk.inc, cfg, rng, machine, disk.load(GROUP), now)
+        self.core = ProductReplica(GROUP, name, disk.inc, cfg, rng, machine, disk.load(GROUP), now)
 
     # --- inputs
     def hear(self, sender, kind, body, now):
-        self.core.hear(sender, kind, body, now)
+        self.core.receive(sender, kind, body, now)
 
     def tick(self, now, wall, peers):
         self.core.peers = set(peers)
@@ -80,30 +79,28 @@
         self.core.found(dict(members))
 
     def propose(self, body, token):
-        return self.ready and self.core.ten.taking and self.core.propose(body, token)
+        return self.ready and self.core.leadership.accepts_proposals and self.core.propose(body, token)
 
     def confirm(self, token):
         return self.ready and self.core.confirm(token)
 
     def transfer(self):
-        return bool(self.core.hand_over())
+        return bool(self.core.transfer_leadership())
 
     def replace(self, old, new):
-        return self.core.ten.replace(old, new, True) if self.core.ten else 'no leader'
+        return self.core.leadership.replace(old, new, True) if self.core.leadership else 'no leader'
 
     def change_member(self, old, new, incarnation):
         """Orders a change of membership at once: for tests only."""
-        self.core.change_seat(old, new, incarnation)
+        self.core.propose_membership(old, new, incarnation)
 
     # --- outputs
     def take(self):
         """(batch for the disk or None, [Outgoing], [Result])."""
-        batch, messages, results = self.core.take()
-        self.core.news = []
-        done = [
-            Result(t, False) if r is None else Result(t, True, r[0], r[1]) for t, r in results
-        ]
-        return batch, [Outgoing(*m) for m in messages], done
+        output = self.core.take_output()
+        self.core.state_changes = []
+        done = [Result(r.token, False) if r.value is None else Result(r.token, True, *r.value) for r in output.results]
+        return output.batch, [Outgoing(m.destination, m.kind, m.body) for m in output.messages], done
 
     # --- what the checks look at
     @property
@@ -116,49 +113,37 @@
 
     @property
     def leads(self):
-        return self.core.state == HOLDER
-
-    @property
-    def candidate(self):
-        return self.core.state == CANVASS
+        return self.core.state == State.LEADER
 
     @property
     def ready(self):
         """Leads, and has committed an entry of its own term."""
-        return self.core.ten is not None and self.core.ten.ready
-
-    @property
-    def first_own_index(self):
-        return self.core.ten.opened
+        return self.core.leadership is not None and self.core.leadership.ready
 
     @property
     def commit(self):
-        return self.core.upto
+        return self.core.commit_index
 
     @property
     def last(self):
         return self.core.log.last
 
-    @property
-    def snapshot_index(self):
-        return self.core.log.rows_op
-
     def term_at(self, index):
         return self.core.log.view_at(index)
 
     def raw(self, index):
         """The entry at `index` as it lies on a disk; None where it is in the rows only."""
         entry = self.core.log.at(index)
-        return entry.raw() if entry else None
+        return entry.encode() if entry else None
 
     @property
     def members(self):
         """The newest membership in the log: name -> incarnation."""
-        return self.core.log.seats
+        return self.core.log.members
 
     @property
     def member(self):
-        return self.core.seated
+        return self.core.is_member
 
     @property
     def changing(self):
@@ -166,50 +151,61 @@
 
     def committed_members(self):
         """The newest membership at or before the commit index."""
-        tables = self.core.log.tabs
-        known = max(self.core.upto, self.core.sure, tables[0].op)
-        return [t for t in tables if t.op <= known][-1].seats
+        tables = self.core.log.memberships
+        known = max(self.core.commit_index, self.core.membership_committed, tables[0].index)
+        return [t for t in tables if t.index <= known][-1].members
 
     def previous_members(self):
         """The membership before the newest one: committed, or the newest could not have been ordered."""
-        tables = self.core.log.tabs
-        return tables[-2].seats if len(tables) > 1 else tables[-1].seats
+        tables = self.core.log.memberships
+        return tables[-2].members if len(tables) > 1 else tables[-1].members
 
     def changes_under_way(self):
         """Membership entries of the log that are not committed yet, as far as this replica knows."""
-        known = max(self.core.upto, self.core.sure)
-        return sum(t.op > known for t in self.core.log.tabs)
+        known = max(self.core.commit_index, self.core.membership_committed)
+        return sum(t.index > known for t in self.core.log.memberships)
 
     def enough(self, names):
         """Whether these members are a quorum by this replica's newest membership."""
-        return self.core.enough(set(names))
+        return self.core.is_quorum(set(names))
 
     def leased(self, now):
         """Whether this leader would act without asking at `now` by its own clock."""
         if not self.ready:
             return False
-        return now - self.core.ten.lease() < self.core.cfg.silence_ms * LEASE_RATIO
+        return now - self.core.leadership.lease_start() < self.core.settings.silence_ms * LEASE_RATIO
 
 
 def remembered(replica):
     """What decides how a replica goes on, as one text: without clocks and counters."""
     core = replica.core
     log = core.log
-    entries = [(e.op, e.view, e.kind, e.body) for e in log.lst]
-    tables = [(t.op, sorted(t.seats.items()), t.into) for t in log.tabs]
-    lead = core.ten and (
-        core.ten.opened,
-        core.ten.heir,
-        core.ten.reads,
-        sorted((n, w.ack, w.nxt, w.inc, w.part, w.snap is not None) for n, w in core.ten.ways.items()),
+    entries = [(e.index, e.view, e.kind, e.body) for e in log.entries]
+    tables = [(t.index, sorted(t.members.items()), t.changed) for t in log.memberships]
+    lead = core.leadership and (
+        core.leadership.opening_index,
+        core.leadership.successor,
+        core.leadership.pending_reads,
+        sorted(
+            (n, w.acked_index, w.next_index, w.incarnation, w.part, w.snapshot is not None)
+            for n, w in core.leadership.progress.items()
+        ),
     )
-    box = core.desk
+    box = core.outbox
     return repr(
         (
-            (core.state, core.view, core.vote, core.upto, core.holder, sorted(core.votes), core.sure),
-            (log.cut_op, log.cut_view, log.rows_op, log.rows_view, entries, tables),
-            (lead, box.num, box.done, box.safe, box.held, sorted(core.rows.items())),
-            core.now - core.heard >= core.cfg.silence_ms * 0.9,
+            (
+                core.state,
+                core.view,
+                core.vote,
+                core.commit_index,
+                core.leader,
+                sorted(core.votes),
+                core.membership_committed,
+            ),
+            (log.cut_index, log.cut_view, log.snapshot_index, log.snapshot_view, entries, tables),
+            (lead, box.num, box.done, box.safe, box.waiting, sorted(core.rows.items())),
+            core.now - core.leader_heard >= core.settings.silence_ms * 0.9,
         )
     )
 
--- a/asterwharf/sim/model/checks.py
+++ b/asterwharf/sim/model/checks.py
@@ -78,7 +78,9 @@
             term = rep.term_at(index)
             if term is not None:
                 old = self.committed.setdefault(index, term)
-                require(old == term, 'committed prefixes are equal', f'{node.name}: index {index} of terms {old}, {term}')
+                require(
+                    old == term, 'committed prefixes are equal', f'{node.name}: index {index} of terms {old}, {term}'
+                )
         self.lengths[key] = rep.commit
         if rep.commit >= self.membership[0]:
             self.membership = rep.commit, dict(rep.committed_members())
@@ -105,7 +107,9 @@
                 f'{node.name} is ready in term {rep.term} at {rep.commit}, acknowledged is {self.acknowledged}',
             )
         require(
-            rep.changes_under_way() <= 1, 'one change of membership at a time', f'{node.name}: {rep.changes_under_way()}'
+            rep.changes_under_way() <= 1,
+            'one change of membership at a time',
+            f'{node.name}: {rep.changes_under_way()}',
         )
 
     def _quorums(self, node, rep):
@@ -121,9 +125,7 @@
                 if not rep.enough(names):
                     continue
                 left = set(old.items()) - {now[n] for n in names}
-                require(
-                    len(left) < least_old, 'two quorums meet', f'{node.name}: {names} of {new} and {left} of {old}'
-                )
+                require(len(left) < least_old, 'two quorums meet', f'{node.name}: {names} of {new} and {left} of {old}')
 
     def _leases(self, nodes):
         ready = [n for n in nodes if n.replica.ready]
--- a/asterwharf/sim/model/cluster.py
+++ b/asterwharf/sim/model/cluster.py
@@ -257,7 +257,9 @@
         while True:
             batch, messages, results = node.replica.take()
             if batch is not None:
-                cost = self.rng.randrange(1, 15) if self.rng.random() > self.slow_syncs else self.rng.randrange(100, 900)
+                cost = (
+                    self.rng.randrange(1, 15) if self.rng.random() > self.slow_syncs else self.rng.randrange(100, 900)
+                )
                 last = node.syncs[-1][0] if node.syncs else self.now
                 node.syncs.append((max(last, self.now) + cost, batch, self.now))
             for m in messages:
