--- a/asterwharf/sim/model/driver.py
+++ b/asterwharf/sim/model/driver.py
@@ -64,6 +64,25 @@
             {'members': 3, 'slowest': 0.01},
             {'cut': 20, 'heal': 20, 'crash': 0, 'power': 0, 'wipe': 0, 'blink': 0, 'transfer': 30, 'freeze': 8},
         ),
+        Profile(
+            'votes',
+            {'members': 3, 'loss': 0.02},
+            {'total': 20, 'power': 14, 'start': 30, 'blink': 20, 'isolate': 0, 'cut': 2, 'propose': 10, 'read': 0},
+            spans=(5, 5, 10, 450, 500, 600),
+        ),
+        Profile(
+            'commits',
+            {'members': 5, 'loss': 0.05},
+            {'burst': 20, 'crash': 20, 'power': 10, 'start': 24, 'cut': 14, 'isolate': 10, 'read': 0, 'freeze': 0},
+            spans=(5, 10, 20, 60, 500, 700),
+        ),
+        Profile('wipes', {'members': 3}, {'wipe': 16, 'power': 4, 'crash': 16, 'start': 30, 'propose': 40}),
+        Profile(
+            'reads',
+            {'members': 3},
+            {'freeze': 24, 'thaw': 24, 'propose': 40, 'isolate': 0, 'cut': 0, 'crash': 0, 'power': 0, 'blink': 0},
+            spans=(20, 60, 400, 1200, 2500),
+        ),
         Profile('snapshots', {'members': 3, 'keep_log': 2}, {'burst': 20, 'power': 8, 'start': 20}),
     )
 }
@@ -175,8 +194,12 @@
         return name
 
     def _thaw(self):
-        for name in self.cluster.nodes:
+        woken = [n for n, node in self.cluster.nodes.items() if node.frozen]
+        for name in woken:
             self.cluster.thaw(name)
+            # the first thing it does may be a client's read, before it hears what became of the others
+            self.cluster.read(name)
+        return woken
 
     def _transfer(self):
         for name in self._up():
@@ -185,8 +208,10 @@
     def _join(self):
         new = [n for n, node in self.cluster.nodes.items() if not node.life]
         if new:
-            self.cluster.start(new[0])
-        return new[:1]
+            new = new if self.rng.random() < 0.5 else new[:1]
+        for name in new:
+            self.cluster.start(name)
+        return new
 
     def _replace(self):
         members = self.cluster.membership()
--- a/asterwharf/sim/model/exhaustive.py
+++ b/asterwharf/sim/model/exhaustive.py
@@ -194,6 +194,26 @@
     return hash((boxes, links, world.orders, world.crashes, world.changes, world.timeouts))
 
 
+def perform(world, script):
+    """Takes the steps of `script` in order, leaving out what is not possible; raises Violation."""
+    for step in script:
+        if step in list(steps(world)):
+            take_step(world, *step)
+
+
+def walk(world, rng, length):
+    """One way through the states by chance, `length` steps at most; raises Violation. The steps taken."""
+    taken = []
+    for _ in range(length):
+        choices = list(steps(world))
+        if not choices:
+            break
+        step = rng.choice(choices)
+        taken.append(step)
+        take_step(world, *step)
+    return taken
+
+
 class Explorer:
     """Breadth first from a founded group (or `world`) to `depth` steps, at most `states` of them."""
 
--- /dev/null
+++ b/tests/model_mutants.py
@@ -0,0 +1,260 @@
+"""Breaks one safety mechanism of the replicated group at a time; the model must catch each.
+
+Each mutant names the profile that brings its trouble about most often and how many seeds the model may need.
+"""
+
+from dataclasses import dataclass
+
+from asterwharf.consensus.leader import Leader
+from asterwharf.consensus.outbox import Outbox
+from asterwharf.consensus.replica import Replica
+from asterwharf.consensus.states import State
+from asterwharf.sim.model.cluster import Cluster, Shape
+from asterwharf.sim.model.driver import PROFILES, Driver
+from asterwharf.sim.model.exhaustive import begin, perform
+
+MUTANTS = {}
+
+
+@dataclass(frozen=True)
+class Mutant:
+    """One broken mechanism: `apply(monkeypatch)` breaks it, `profile` is where it shows within `seeds` runs."""
+
+    name: str
+    profile: str
+    seeds: int
+    apply: object
+
+
+def mutant(profile, seeds=40):
+    def keep(apply):
+        MUTANTS[apply.__name__] = Mutant(apply.__name__, profile, seeds, apply)
+        return apply
+
+    return keep
+
+
+def hunt(one):
+    """(seed, what was broken) of the first run that breaks a rule, or None. The product's own asserts count."""
+    if one.profile == 'two wiped':
+        return two_wiped()
+    if one.profile == 'one voter forgets':
+        return one_voter_forgets()
+    for seed in range(one.seeds):
+        try:
+            Driver(PROFILES[one.profile], seed).play()
+        except AssertionError as e:
+            return seed, str(e)
+    return None
+
+
+def one_voter_forgets():
+    """Two candidates of one view; the third replica loses its power between their requests."""
+    world = begin()
+    ask = [('timeout', 'n0'), ('timeout', 'n1')]
+    for name in ('n0', 'n1'):
+        # pre-votes of the third for both, before either enters the view
+        ask += [('deliver', (name, 'n2')), ('deliver', ('n2', name))]
+    first = [('sync', 'n0'), ('deliver', ('n0', 'n2')), ('deliver', ('n2', 'n0'))]
+    second = [('crash', 'n2'), ('sync', 'n1'), ('deliver', ('n1', 'n2')), ('sync', 'n2'), ('deliver', ('n2', 'n1'))]
+    try:
+        perform(world, ask + first + second)
+    except AssertionError as e:
+        return 0, str(e)
+    return None
+
+
+def two_wiped():
+    """More disks are lost than a quorum allows: the group must stand still, and nobody may begin another."""
+    cluster = Cluster(Shape(seed=3))
+    cluster.run(2500)
+    for _ in range(4):
+        cluster.propose(cluster.leader().name)
+        cluster.run(200)
+    for name in ('n0', 'n1'):
+        cluster.crash(name)
+        cluster.wipe(name)
+        cluster.start(name)
+    try:
+        cluster.run(10000)
+        for node in cluster.running():
+            cluster.propose(node.name)
+        cluster.run(1000)
+    except AssertionError as e:
+        return 3, str(e)
+    return None
+
+
+def sent_before_sync(mp, kind):
+    held = Outbox.send_after_sync
+
+    def send(self, destination, what, body):
+        return (self.send if what == kind else held.__get__(self))(destination, what, body)
+
+    mp.setattr(Outbox, 'send_after_sync', send)
+
+
+@mutant('one voter forgets')
+def vote_told_before_it_is_synced(mp):
+    sent_before_sync(mp, 'vote_reply')
+
+
+@mutant('restarts')
+def vote_without_looking_at_the_log(mp):
+    mp.setattr(Replica, '_is_up_to_date', lambda self, message: True)
+
+
+@mutant('votes', 60)
+def vote_twice_in_a_view(mp):
+    old = Replica.on_request_vote
+
+    def vote(self, source, message):
+        if message['view'] == self.view and self.state == State.FOLLOWER:
+            self.vote = ''
+        old(self, source, message)
+
+    mp.setattr(Replica, 'on_request_vote', vote)
+
+
+@mutant('commits', 120)
+def entry_of_an_older_view_committed_by_count(mp):
+    def commit(self):
+        replica = self.replica
+        for index in range(replica.log.last, replica.commit_index, -1):
+            if replica.is_quorum(self._holders_of(index)):
+                return replica.commit_to(index)
+
+    mp.setattr(Leader, '_commit_newest', commit)
+
+
+@mutant('restarts')
+def append_acknowledged_before_it_is_synced(mp):
+    sent_before_sync(mp, 'append_reply')
+
+
+@mutant('wipes', 60)
+def vote_of_a_replica_that_lost_its_disk(mp):
+    mp.setattr(Replica, '_is_known', lambda self, source, message: True)
+    for name in ('on_request_vote', 'on_pre_vote'):
+        old = getattr(Replica, name)
+
+        def vote(self, source, message, old=old):
+            was = self.state
+            if was == State.LEARNER:
+                self.state = State.FOLLOWER
+            old(self, source, message)
+            if was == State.LEARNER and self.state == State.FOLLOWER:
+                self.state = was
+
+        mp.setattr(Replica, name, vote)
+
+
+@mutant('spares')
+def member_under_change_counts(mp):
+    def is_quorum(self, names):
+        return len(names & set(self.log.members)) >= len(self.log.members) // 2 + 1
+
+    mp.setattr(Replica, 'is_quorum', is_quorum)
+
+
+def during(mp, owner, method, target, attribute, value):
+    """While `method` of `owner` runs, the property `attribute` of `target` reads `value`."""
+    inside, old, look = [], getattr(owner, method), getattr(target, attribute).fget
+
+    def run(self):
+        inside.append(1)
+        try:
+            return old(self)
+        finally:
+            inside.pop()
+
+    mp.setattr(owner, method, run)
+    mp.setattr(target, attribute, property(lambda self: value if inside else look(self)))
+
+
+@mutant('spares', 80)
+def membership_changed_before_an_own_entry_is_committed(mp):
+    during(mp, Leader, '_change_membership', Leader, 'ready', True)
+
+
+@mutant('growing', 20)
+def two_membership_changes_at_once(mp):
+    during(mp, Leader, '_change_membership', Replica, 'changing', '')
+
+
+@mutant('reordered')
+def matching_entries_truncated(mp):
+    def take(self, entry):
+        if entry.index <= self.commit_index:
+            return
+        if self.log.at(entry.index):
+            self._truncate(entry.index)
+        self.append_entry(entry)
+
+    mp.setattr(Replica, '_take_entry', take)
+
+
+@mutant('reordered')
+def committed_entry_truncated(mp):
+    def take(self, entry):
+        if entry.index <= self.log.cut_index:
+            return
+        old = self.log.at(entry.index)
+        if old:
+            self.log.truncate(entry.index)
+            self.outbox.truncate(entry.index)
+            self.outbox.current().trim = entry.index
+        self.append_entry(entry)
+
+    mp.setattr(Replica, '_take_entry', take)
+
+
+@mutant('reads')
+def read_without_confirmation(mp):
+    def confirm(self, token, soon=True):
+        self.replica.finish(token, (self.replica.commit_index, None))
+
+    mp.setattr(Leader, 'confirm', confirm)
+
+
+@mutant('reads')
+def read_confirmed_by_an_earlier_heartbeat(mp):
+    def confirm(self, token, soon=True):
+        self.pending_reads.append((token, self.heartbeat))
+        self._answer_reads()
+
+    mp.setattr(Leader, 'confirm', confirm)
+
+
+@mutant('two wiped')
+def founded_by_a_majority(mp):
+    def found(self):
+        nodes = [self.nodes[n] for n in self.founders() if self.nodes[n].replica and self.nodes[n].replica.empty]
+        if len(nodes) > self.shape.members // 2:
+            members = {n.name: n.disk.inc for n in nodes}
+            for node in nodes:
+                node.replica.found(members)
+                self._out(node)
+
+    step = Cluster._step
+
+    def again(self):
+        self.founded = False
+        step(self)
+
+    mp.setattr(Cluster, 'found', found)
+    mp.setattr(Cluster, '_step', again)
+
+
+@mutant('transfers')
+def lease_stands_through_a_transfer(mp):
+    old = Leader.lease_start
+
+    def lease(self):
+        was, self.successor = self.successor, ''
+        try:
+            return old(self)
+        finally:
+            self.successor = was
+
+    mp.setattr(Leader, 'lease_start', lease)
