Match answers to attempts, send once what may not be repeated, refuse late requests

The time to live of a request was never looked at. - A core node that was killed and came back within the bound on silence took the answer to a request of its earlier life for the answer to its first new one: `inc` lasts as long as the disk and the numbers began again at 1. - Orders without identity (zones, drains, minions stated gone, replaced nodes) were sent again after a silence. - A late "not the leader" of an earlier attempt sent the request on a third time while the second was under way.

Now each attempt has an identifier of its own, in the name of this life of the process, and counts once and only from the node that was asked. What must not be carried out after its caller has given up carries a deadline by the receiver's clock, read from the membership messages (protocol 5) and never ahead of it; the leader refuses what is later, before and after its checks, and the router sends it anew while the caller waits.

Ruled out: a deadline for configurations; they are accepted on top of one number, and a leader slower than the caller's patience would never take a large one.

The simulator packs what an older process sends to itself in that release's words, as it does for all others; it failed at the first record that changed between them.

--- a/asterwharf/ring/meet.py
+++ b/asterwharf/ring/meet.py
@@ -112,6 +112,7 @@
             known=sorted(f'{n}#{i}' for n, i in met.items()),
             met=sorted(b.links) if rows else [],
             holders={g: list(h) for g, h in b.holders.items()},
+            clock=b.now,
         )
 
     def _learn(self, row, met=()):
--- a/asterwharf/scheduler/clerk.py
+++ b/asterwharf/scheduler/clerk.py
@@ -15,6 +15,30 @@
 NOBODY = {'retry_ms': 1000}
 
 
+class Response:
+    """Answers one request: called with a code and a body, once."""
+
+    __slots__ = ('_board', '_deadline', '_group', '_id', '_to')
+
+    def __init__(self, board, to, request):
+        self._board, self._to, self._id, self._group = board, to, request['id'], request['grp']
+        self._deadline = request.get('deadline', 0)
+
+    @property
+    def late(self):
+        """Whether its caller has given up: carried out now, it might undo what came since."""
+        return 0 < self._deadline < self._board.now
+
+    @property
+    def clock(self):
+        """What the asking node needs to tell the deadline better."""
+        return {'clock': self._board.now}
+
+    def __call__(self, code, body=None):
+        hint = self._board.holders.get(self._group, ('', 0))[0] if code == 'no_holder' else ''
+        self._board.send(self._to, 'returned', id=self._id, code=code, body=body, hint=hint)
+
+
 class Clerk(Controller):
     """Looks an errand up, judges it, orders the change, answers when it is delivered."""
 
@@ -32,17 +56,14 @@
         return part.member if part else None
 
     def on_errand(self, src, d):
-        member = self.member(d['grp'])
-
-        def give(code, body=None):
-            hnt = self.b.holders.get(d['grp'], ('', 0))[0] if code == 'no_holder' else ''
-            self.b.send(src, 'returned', id=d['id'], code=code, body=body, hint=hnt)
-
+        member, give = self.member(d['grp']), Response(self.b, src, d)
         fn = getattr(self, 'do_' + d['op'], None)
         if fn is None:
             return give('no_path', {'details': [f"{d['grp']}.{d['op']}"]})
         if member is None or not member.leads:
             return give('no_holder', NOBODY)
+        if give.late:
+            return give('late', give.clock)
         self.b.count[f"errand.{d['op']}"] += 1
         fn(d['args'] or {}, give, member)
 
@@ -64,6 +85,9 @@
                 # neither taken nor not taken: the caller sends it again
                 return give('unsure', NOBODY)
             then(r[1])
+        # time may have passed in a check or a confirmation
+        if give.late:
+            return give('late', give.clock)
         if not member.order(knd, doc, got):
             give('no_holder', NOBODY)
 
--- a/asterwharf/scheduler/ferry.py
+++ b/asterwharf/scheduler/ferry.py
@@ -1,60 +1,58 @@
 """Carries errands from the node that took them to the holder that can answer. Pure."""
 
 from asterwharf.base.board import Controller
-
-# errands that change nothing may be given up on with "come again"; the others only with "unsure"
-READS = frozenset(
-    (
-        'job',
-        'y_state',
-        'y_waiting',
-        'y_job',
-        'counts',
-        'import',
-        'own',
-        'jobs',
-        'minions',
-        'zones',
-        'minion',
-        'claims',
-        'config_get',
-        'queues_get',
-        'emptied',
-        'nodes',
-        'cells',
-        'why',
-        'seats',
-        'history',
-        'judge',
-    )
-)
-
+from asterwharf.scheduler.operations import Repeat, operation
+from asterwharf.scheduler.peer_clocks import PeerClocks
 
 # refusals that another holder might not have given
 REFUSALS = frozenset(
     ('tenant_full', 'overload', 'unknown_tenant', 'beyond_limits', 'bad_size', 'bad_field', 'stale', 'bad_config')
 )
+# the first protocol that tells clocks and refuses what comes after its deadline
+CLOCKED = 5
+# of the bound on silence: how long what may not be repeated is worth carrying out after it was sent, and how long it
+# waits before it is sent for word that its caller has gone
+WINDOW, SETTLE = 0.3, 0.03
+# nodes that a request is passed on to by their hints before the router waits for a leader to show itself
+HINTS = 4
 
 
 class Trip:
-    """One errand under way."""
+    """One errand under way; each attempt to have it answered has an identifier of its own."""
 
-    __slots__ = ('args', 'cell', 'end', 'grp', 'hops', 'id', 'maybe', 'next', 'op', 'then', 'to', 'wait')
+    __slots__ = ('args', 'caller', 'cell', 'end', 'grp', 'hops', 'id', 'next', 'op', 'open', 'then', 'unsure', 'what')
 
-    def __init__(self, tid, grp, op, args, end, then):
+    def __init__(self, tid, grp, op, args, end, then, caller):
         self.id, self.grp, self.op, self.args, self.end, self.then = tid, grp, op, args, end, then
-        self.to, self.wait, self.maybe, self.hops, self.next = '', False, False, 0, 0
+        # whether its caller still waits for the answer
+        self.caller = caller or (lambda: True)
+        self.what, self.cell, self.hops, self.next = operation(op), False, 0, 0
+        # attempts without an answer: identifier -> node; whether one was answered "may have been taken"
+        self.open, self.unsure = {}, False
+
+    @property
+    def maybe(self):
+        """Whether it may have been taken by a node whose answer is not known."""
+        return self.what.repeat is not Repeat.READ and (self.unsure or bool(self.open))
+
+    @property
+    def again(self):
+        """Whether another attempt may be made."""
+        return self.what.repeat is not Repeat.ONCE or not self.maybe
 
 
 class Ferry(Controller):
     """Sends, sends again where that is safe, and gives up in time: the last word is said at once."""
 
-    __slots__ = ('dark', 'known', 'n', 'trips', 'turn')
-    hears = ('returned',)
+    __slots__ = ('attempts', 'clocks', 'dark', 'known', 'life', 'n', 'trips', 'turn')
+    hears = ('returned', 'roll')
 
     def __init__(self, b):
         super().__init__(b)
-        self.trips, self.n, self.turn, self.dark, self.known = {}, 0, 0, {}, {}
+        self.trips, self.attempts, self.n, self.turn, self.dark, self.known = {}, {}, 0, 0, {}, {}
+        self.clocks = PeerClocks()
+        # an incarnation lasts as long as its disk: answers to an earlier life of this process must not be taken for ours
+        self.life = f'{b.me}.{b.inc}.{b.wall:x}.{b.now:x}'
 
     # --- which group answers
     def _group(self, op, args):
@@ -69,10 +67,20 @@
 
     def _seats(self, grp):
         among = self.b.atlas.seats(grp)
-        return sorted(n for n, h in self.b.links.items() if (n in among if among else h['role'] == 'trellis'))
+        return sorted(
+            n for n, h in self.b.links.items() if (n in among if among else h['role'] == 'trellis') and self._near(n)
+        )
+
+    def _near(self, n):
+        """Whether a request can be sent to the node: it is connected, and has told its clock if its release does."""
+        h = self.b.links.get(n)
+        return n == self.b.me or (h is not None and (min(h['proto'], self.b.proto) < CLOCKED or self.clocks.knows(n)))
 
-    def start(self, op, grp, args, then, ttl=0):
-        """`then(code, body)` is called once, at the latest when the errand's time is up."""
+    def start(self, op, grp, args, then, ttl=0, caller=None):
+        """`then(code, body)` is called once, at the latest when the errand's time (`ttl` ms) is up.
+
+        `caller()` tells whether the caller still waits; for one that does not, nothing is sent (again).
+        """
         b = self.b
         # a full buffer is refused at once, not when its time is up
         if len(self.trips) >= b.set.buffer:
@@ -91,10 +99,14 @@
                 {'retry_ms': 1000 + int(b.rng.random() * 3000), 'details': [f'the cell {grp} is out of reach']},
             )
         self.n += 1
-        t = Trip(f'{b.me}.{b.inc}.{self.n}', grp, op, args, b.now + (ttl or b.set.errand_ms), then)
+        t = Trip(f'{self.life}.{self.n}', grp, op, args, b.now + (ttl or b.set.errand_ms), then, caller)
         t.cell = bool(was)
         self.trips[t.id] = t
-        self._go(t)
+        if caller and t.what.repeat is Repeat.ONCE:
+            # what lay in a cut connection comes just before the word that its caller has gone
+            t.next = b.now + b.set.view.silence_ms * SETTLE
+            return None
+        return self._go(t)
 
     def _fan(self, op, args, then):
         """Asks every cell and lays their answers together; a cell out of reach is named."""
@@ -133,57 +145,110 @@
 
         self.start(op, 'core', args, core)
 
+    # --- attempts
     def _pick(self, t, hint=''):
-        b = self.b
-        for n in (hint, b.holders.get(t.grp, ('', 0))[0]):
-            if n and (n in b.links or n == b.me):
+        for n in (hint, self.b.holders.get(t.grp, ('', 0))[0]):
+            if n and self._near(n):
                 return n
         core = self._seats(t.grp)
         self.turn += 1
         return core[self.turn % len(core)] if core else ''
 
     def _go(self, t, hint=''):
+        """Makes another attempt, if one may be made and somebody is in reach."""
         b = self.b
-        t.to, t.next = self._pick(t, hint), b.now + b.set.view.silence_ms // 4
-        if not t.to:
+        if not t.again or not t.caller():
+            return self._give_up(t)
+        to, t.next = self._pick(t, hint), b.now + b.set.view.silence_ms // 4
+        if not to:
             return
-        # a hop that never returned may have been taken all the same
-        t.maybe = t.maybe or t.wait
-        t.wait = True
         t.hops += 1
-        b.send(t.to, 'errand', id=t.id, grp=t.grp, op=t.op, args=t.args, ttl=max(1, t.end - b.now), hops=t.hops)
+        self.n += 1
+        attempt = f'{t.id}/{self.n}'
+        t.open[attempt], self.attempts[attempt] = to, t
+        b.send(
+            to,
+            'errand',
+            id=attempt,
+            grp=t.grp,
+            op=t.op,
+            args=t.args,
+            ttl=max(1, t.end - b.now),
+            hops=t.hops,
+            deadline=self._deadline(t, to),
+        )
         t.next = b.now + b.set.view.silence_ms * 2
 
+    def _deadline(self, t, to):
+        """By the receiver's clock: when it must not be carried out any more; 0 for never."""
+        b = self.b
+        if not t.what.expires:
+            return 0
+        end = t.end
+        if t.what.repeat is Repeat.ONCE:
+            end = min(end, b.now + int(b.set.view.silence_ms * WINDOW))
+        if to == b.me:
+            return end
+        return self.clocks.translate(to, end) if self.clocks.knows(to) else 0
+
     def on_returned(self, src, d):
-        t = self.trips.get(d['id'])
-        if t is None:
+        t = self.attempts.get(d['id'])
+        # an answer counts once, and only from the node that was asked
+        if t is None or t.open.get(d['id']) != src:
             return
-        # not the holder, or a holder that lost the view: every errand may be sent again, being idempotent
-        if d['code'] == 'moving' and self.b.now < t.end:
-            t.to, t.wait, t.next = '', False, self.b.now + self.b.set.view.silence_ms // 4
+        del t.open[d['id']], self.attempts[d['id']]
+        code, now, silence = d['code'], self.b.now, self.b.set.view.silence_ms
+        if code == 'late':
+            # not taken: it came after its deadline, or our reading of that clock was an old one
+            self.clocks.note(src, d['body']['clock'], now)
+        elif code == 'unsure':
+            t.unsure = True
+        elif code not in ('moving', 'no_holder'):
+            return self._settle(t, code, d['body'])
+        if now >= t.end or not t.again:
+            return self._give_up(t)
+        if t.open:
+            # a later attempt is under way
             return
-        if d['code'] in ('no_holder', 'unsure') and self.b.now < t.end:
-            t.wait, t.maybe = False, t.maybe or d['code'] == 'unsure'
-            if d['hint'] and d['hint'] != src and t.hops < 4:
-                return self._go(t, d['hint'])
+        if code == 'late':
+            return self._go(t, src)
+        if code == 'moving':
+            t.next = now + silence // 4
+        elif d['hint'] and d['hint'] != src and t.hops < HINTS:
+            self._go(t, d['hint'])
+        else:
             # until a holder shows itself; asking on and on would only keep it from doing so
-            t.to, t.next = '', self.b.now + int(self.b.set.view.silence_ms * (0.5 + self.b.rng.random() * 0.5))
-            return
-        code = d['code']
-        # "not taken" is said only when no other hop can have taken it
-        if t.maybe and t.op not in READS and code in REFUSALS:
+            t.next = now + int(silence * (0.5 + self.b.rng.random() * 0.5))
+
+    def _settle(self, t, code, body):
+        """An answer has come that is the last word."""
+        # "not taken" is said only when no other attempt can have been taken
+        if t.maybe and code in REFUSALS:
             return self._end(t, 'unsure', {'retry_ms': 1000})
-        self._end(t, code, d['body'])
+        self._end(t, code, body)
+
+    def _give_up(self, t):
+        # what was sent may have been taken: never "not taken" when unsure
+        self._end(t, 'unsure' if t.maybe else 'no_holder', {'retry_ms': 1000})
 
     def _end(self, t, code, body):
-        self.trips.pop(t.id, None)
+        if self.trips.pop(t.id, None) is None:
+            return
+        for attempt in t.open:
+            del self.attempts[attempt]
         self.b.count[f'returned.{code}'] += 1
         t.then(code, body)
 
+    # --- connections, clocks and time
+    def on_roll(self, src, d):
+        if d.get('clock'):
+            self.clocks.note(src, d['clock'], self.b.now)
+
     def lost(self, peer):
+        self.clocks.forget(peer)
         for t in list(self.trips.values()):
-            if t.to == peer:
-                t.to, t.next = '', self.b.now
+            if peer in t.open.values():
+                t.next = self.b.now
 
     def tick(self):
         now = self.b.now
@@ -196,15 +261,13 @@
                     # a new holder: what waited goes to it, not all in one moment
                     for t in self.trips.values():
                         # and what lies with the old one: it may never return
-                        if t.grp == g and t.to != hld[0]:
+                        if t.grp == g and hld[0] not in t.open.values():
                             t.next = min(t.next, now + int(self.b.rng.random() * self.b.set.view.silence_ms / 4))
             else:
                 self.dark.setdefault(g, now)
         for t in list(self.trips.values()):
             if now >= t.end:
-                # what was sent may have been taken: never "not taken" when unsure
-                sure = t.op in READS or not (t.maybe or t.wait)
-                self._end(t, 'no_holder' if sure else 'unsure', {'retry_ms': 1000})
+                self._give_up(t)
             elif now >= t.next:
                 t.hops = 0
                 # the tenant may have a new cell by now
--- a/asterwharf/sim/world.py
+++ b/asterwharf/sim/world.py
@@ -179,7 +179,8 @@
     def _e_send(self, h, dst, knd, doc):
         self.count[knd] = self.count.get(knd, 0) + 1
         if dst == h.name:
-            raw = pack(knd, doc)
+            # a process of an earlier release speaks so to itself, too
+            raw = pack(knd, doc, speaks(knd, h.node.b.proto))
             return self.after(0, self._deliver, h.life, h, h.name, raw)
         c = self.link(h.name, dst)
         if c is None:
--- a/asterwharf/wire/kinds.py
+++ b/asterwharf/wire/kinds.py
@@ -13,10 +13,11 @@
 # --- meeting
 kind(1, 'hello', dict(_NODE, proto='l', token='s'), (4, dict(_CALLED, proto='l', token='s')))
 _ROLL = {'node': [_NODE], 'empty': 'b', 'inc': 's', 'known': 'S', 'holders': 'j'}
+_MET = dict(_ROLL, met='S', node=[_CALLED])
+# `clock`: the sender's steady clock in ms, by which deadlines of requests to it are told
 # `met`: who is connected with the sender, whose word on their addresses is first hand
-_ROLL_CALLED = dict(_ROLL, met='S', node=[_CALLED])
 # `founder`: whether the sender may found, because its disk is that of the first start
-kind(2, 'roll', _ROLL, (3, dict(_ROLL, met='S')), (4, _ROLL_CALLED), (5, dict(_ROLL_CALLED, founder='b')))
+kind(2, 'roll', _ROLL, (3, dict(_ROLL, met='S')), (4, _MET), (5, dict(_MET, clock='l', founder='b')))
 kind(3, 'pulse', {'sequence': 'l'})
 kind(4, 'suspect', {'name': 's', 'by': 's', 'gone': 'b'})
 # --- replicated groups
@@ -51,7 +52,9 @@
 _JOIN_REQUEST = {'grp': 's', 'inc': 's', 'op': 'l'}
 kind(19, 'join_request', _JOIN_REQUEST, (5, dict(_JOIN_REQUEST, leaving='b')))
 # --- errands and news
-kind(30, 'errand', {'id': 's', 'grp': 's', 'op': 's', 'args': 'j', 'ttl': 'l', 'hops': 'l'})
+_ERRAND = {'id': 's', 'grp': 's', 'op': 's', 'args': 'j', 'ttl': 'l', 'hops': 'l'}
+# `deadline`: by the receiver's steady clock in ms; later than that it is not carried out (0: whenever it comes)
+kind(30, 'errand', _ERRAND, (5, dict(_ERRAND, deadline='l')))
 kind(31, 'returned', {'id': 's', 'code': 's', 'body': 'j', 'hint': 's'})
 _ASK = {'id': 's', 'sequence': 'l', 'wait': 'l'}
 kind(32, 'ask', _ASK, (2, dict(_ASK, dsequence='l')))
--- a/tests/test_queues_fleet.py
+++ b/tests/test_queues_fleet.py
@@ -16,7 +16,6 @@
 from asterwharf.sim.fleet import Fleet
 from asterwharf.wire.schema import PROTO
 
-
 def fleet(seed=1, **kws):
     f = Fleet(seed, minions=0, edges=2, **kws).start()
     assert f.ready()
@@ -176,8 +175,9 @@
     for code in ('stale', 'bad_config'):
         fer.start('queues_put', 'core', {}, lambda c, b: got.append(c))
         t = list(fer.trips.values())[-1]
-        t.maybe = True
-        fer.on_returned('t0', {'id': t.id, 'code': code, 'body': {}, 'hint': ''})
+        t.unsure = True
+        [(attempt, node)] = t.open.items()
+        fer.on_returned(node, {'id': attempt, 'code': code, 'body': {}, 'hint': ''})
     assert got == ['unsure', 'unsure']
 
 
