Carry out no evacuation order whose operator has gone on to another node

Begin and finish have no number. One that lay in a cut connection, or in the buffers of a frozen process, is read together with the end of its connection; it was carried out all the same, and could undo what had been acknowledged since.

A caller that closes only its own half still gets its answers, but for these two orders, which it must send again. The test of the callers in test_platform.py speaks as the listener does: an answer is an object that knows its caller.

--- a/asterwharf/door/lean.py
+++ b/asterwharf/door/lean.py
@@ -4,13 +4,12 @@
 for crowds: each connection is one line of requests, answered one after another in order; answers go to the
 kernel as soon as they are given. `app` has
 
-    take(method, path, query, headers, body, give)   headers by lower-case name; give(status, raw, heads) once, any time later
+    take(method, path, query, headers, body, give)   headers by lower-case name; `give` is a Reply: called once, any time later
     trouble(code, why) -> (status, raw, heads)       a numbered refusal of what can't be read
     max_body, max_head (bytes), stall_ms (a request's longest way in), idle_ms (0: for ever), leaving, idle(), count
 """
 
 import re
-from functools import partial
 from http import HTTPStatus
 
 from circuits import BaseComponent
@@ -71,6 +70,28 @@
         return not (self.busy or self.rest or self.req or self.over)
 
 
+class Reply:
+    """The answer to one request, given by a call: (status, body, headers), once, any time later."""
+
+    __slots__ = ('_bare', '_door', '_keep', '_line', '_turn')
+
+    def __init__(self, door, line, bare):
+        self._door, self._line, self._turn, self._keep, self._bare = door, line, line.turn, line.keep, bare
+
+    def __call__(self, status, raw, heads=None):
+        self._door.answer(self._line, self._turn, self._keep, self._bare, status, raw, heads)
+
+    def still_waiting(self):
+        """Whether the caller has neither closed its side of the connection nor broken it off, as far as is known."""
+        return not self._line.ended and self._door.lines.get(self._line.sock) is self._line
+
+    def look(self):
+        """The same, after all that lies in the connection has been read: what was held up in a cut comes with its end."""
+        while self.still_waiting() and self._door.read_more(self._line):
+            pass
+        return self.still_waiting()
+
+
 class Lean(BaseComponent):
     """The listening side, one of the daemon's parts."""
 
@@ -143,7 +164,7 @@
         if body is None:
             return False
         method, path, query, heads = ln.req
-        give = partial(self._give, ln, ln.turn, ln.keep, method == 'HEAD')
+        give = Reply(self, ln, method == 'HEAD')
         ln.fresh()
         ln.busy = True
         try:
@@ -237,7 +258,13 @@
         return j >= 0
 
     # --- answers
-    def _give(self, ln, turn, keep, bare, status, raw, heads=None):
+    def read_more(self, ln):
+        """Reads what has come behind the request that is being answered; False where there was nothing."""
+        size = len(ln.rest)
+        self.server.readable(ln.sock)
+        return len(ln.rest) > size
+
+    def answer(self, ln, turn, keep, bare, status, raw, heads=None):
         if ln.turn != turn or not ln.busy:
             return
         ln.turn += 1
--- a/tests/test_lean.py
+++ b/tests/test_lean.py
@@ -265,6 +265,47 @@
     assert not door.lines
 
 
+def test_a_request_that_comes_with_its_connections_end_is_told_from_one_whose_caller_waits(site):
+    loop, app, door, call = site
+    for how in ('waits', 'end', 'reset', 'more'):
+        c = call()
+        # the process is not let read until all of it lies in the connection
+        c.s.send(req('POST', '/later') + (req('GET', '/second') if how == 'more' else b''))
+        if how == 'end':
+            c.s.shutdown(socket.SHUT_WR)
+        elif how == 'reset':
+            c.s.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b'\1\0\0\0\0\0\0\0')
+            c.s.close()
+        seen = []
+        take = app.take
+
+        def looks(*args, seen=seen, take=take):
+            seen.append(args[-1].look())
+            take(*args)
+
+        app.take = looks
+        assert loop.until(lambda: seen or not door.lines)
+        app.take = take
+        # a reset leaves nothing to be read, or is seen by the look
+        assert seen in (([True],) if how in ('waits', 'more') else ([False],) if how == 'end' else ([], [False]))
+        while app.open:
+            app.open.pop()(200, b'{}', {})
+        if how != 'reset':
+            assert c.answer()[0] == 200
+            c.s.close()
+            assert loop.until(lambda: not door.lines)
+
+
+def test_a_caller_that_leaves_while_it_is_being_answered_is_known_to_have_left(site):
+    loop, app, door, call = site
+    c = call()
+    c.send(req('GET', '/later'))
+    give = app.open.pop()
+    assert give.still_waiting()
+    c.s.close()
+    assert loop.until(lambda: not give.still_waiting())
+
+
 def test_an_answer_is_given_once(site):
     loop, app, _, call = site
     c = call()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -227,7 +227,7 @@
 
     def __init__(self, st):
         self.b, self.end, self.trips, self.beats, self.node = Board(st), 0, [], [], self
-        self.open = {}
+        self.open, self.callers = {}, []
 
     def find(self, cls):
         return self
@@ -235,8 +235,9 @@
     def at(self):
         pass
 
-    def start(self, op, grp, args, then, ttl):
+    def start(self, op, grp, args, then, ttl, caller=None):
         self.trips.append((op, grp, args, then, ttl))
+        self.callers.append(caller)
 
     def beat(self, mid, doc, give):
         self.beats.append((mid, doc, give))
@@ -258,13 +259,24 @@
 
 
 class Asked:
-    """One request to an app, and what it answered."""
+    """One request to an app, and what it answered; `stays`: whether its caller still waits once all has been read."""
+
+    stays = True
 
     def __init__(self, app, method, path, doc=None, **heads):
-        self.got = []
+        self.got, self.waits = [], True
         raw = doc if isinstance(doc, bytes) else json.dumps(doc).encode() if doc is not None else b''
-        app.take(method, path, '', {'host': 'n.example'} | {k.replace('_', '-'): v for k, v in heads.items()}, raw,
-                 lambda s, r, h=None: self.got.append((s, json.loads(r), h or {})))
+        app.take(method, path, '', {'host': 'n.example'} | {k.replace('_', '-'): v for k, v in heads.items()}, raw, self)
+
+    def __call__(self, status, raw, heads=None):
+        self.got.append((status, json.loads(raw), heads or {}))
+
+    def still_waiting(self):
+        return self.waits
+
+    def look(self):
+        self.waits = self.stays
+        return self.waits
 
     @property
     def status(self):
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -110,10 +110,25 @@
     for word, on in (('begin', True), ('finish', False)):
         a = Asked(control.Control(dmn), 'POST', f'/evacuate/hall-caerdydd/{word}')
         assert dmn.trips[-1][:3] == ('zone_set', 'core', {'zone': 'hall-caerdydd', 'emptied': on})
+        # while it is under way its caller is asked after
+        assert dmn.callers[-1]()
+        a.waits = False
+        assert not dmn.callers[-1]()
         dmn.trips[-1][3]('ok', {})
         assert a.status == 200
 
 
+def test_an_evacuation_whose_operator_has_gone_on_to_another_node_goes_no_further(dmn, monkeypatch):
+    # held up in a cut connection or by a frozen process, a request is read together with its connection's end
+    monkeypatch.setattr(Asked, 'stays', False)
+    for word in ('begin', 'finish'):
+        assert Asked(control.Control(dmn), 'POST', f'/evacuate/hall-caerdydd/{word}').status == 503
+    assert not dmn.trips and dmn.b.count['orders.abandoned'] == 2
+    # what has a number of its own may be carried out all the same
+    Asked(control.Control(dmn), 'POST', '/config/replace', DOC, x_asterwharf_based_on='5')
+    assert len(dmn.trips) == 1
+
+
 @pytest.mark.parametrize('method, path, body, head, status', [
     ('POST', '/config/replace', DOC, None, 400), ('POST', '/config/replace', DOC, '-1', 400), ('POST', '/config/replace', DOC, '7.0', 400),
     ('POST', '/config/replace', b'{"version":7,', '5', 400), ('POST', '/config/replace', b'[]', '5', 400),
