Keep events of a closed connection from the one that has its number now

The kernel tells a batch of events by descriptor numbers. Where one of the batch closed a connection and another took a new one, the number was used again and the old one's reset closed the new caller's connection; with no new one, the library's poller failed on the closed descriptor and left the rest of the batch for the next turn (seen as EBADF in the test before the mend). Events of numbers that were given up since the kernel was asked are passed over; what is still true is told again in the next turn.

Ruled out: answers at the wrong connection. Both listeners keep their callers by the connection object.

--- a/asterwharf/wire/tcp.py
+++ b/asterwharf/wire/tcp.py
@@ -28,7 +28,8 @@
 
     def __init__(self, *args, **kws):
         super().__init__(*args, **kws)
-        self.direct = {}
+        # `over`: numbers of descriptors that were given up since the kernel was asked last
+        self.direct, self.over = {}, set()
 
     def addReader(self, source, fd):
         if getattr(source, 'direct', False):
@@ -37,9 +38,19 @@
 
     def discard(self, fd):
         self.direct.pop(fd, None)
+        number = fd.fileno()
         super().discard(fd)
+        self.over.add(number)
+        self._map.pop(number, None)
+
+    def _generate_events(self, event):
+        self.over.clear()
+        super()._generate_events(event)
 
     def _process(self, fileno, event):
+        # what was told of a closed connection is nothing to the one that has its number now
+        if fileno in self.over:
+            return None
         fd = self._map.get(fileno)
         src = self.direct.get(fd)
         if src is None:
