Let no beat that was sent before a leave bring its minion back

A beat that came behind its minion's leave, on a connection of its own or out of a cut one, made a new link: the process that had ended counted as in touch and open for starts, and what it had held was given up after a whole hold (4 s with the platform's figures) and not after `stop_grace_ms`. One that begins anew under the same identifier counts from the start and runs nothing, and is taken as before.

Ruled out for a late beat at a new leader, whose links begin with no count: the start it is told reaches nobody and is taken back after half a beat; runs on record when the view began are settled only by a listing, an end or the longest hold; ends are facts; a minion that drains says so again in its next beat. A late leave is as final as one in time.

--- a/asterwharf/orchard/tender.py
+++ b/asterwharf/orchard/tender.py
@@ -52,6 +52,9 @@
             return self._elsewhere(give)
         b, now = self.b, self.b.now
         l = self.links.get(mid)
+        if l is not None and l.state == CLOSED and self._left(l, d):
+            b.count['beats.left'] += 1
+            return give('ok', {})
         if l is None or l.state == CLOSED:
             l = self.links[mid] = Link(mid, now)
         if d['count'] <= l.count:
@@ -71,6 +74,10 @@
         self.look.add(mid)
         return None
 
+    def _left(self, l, d):
+        """Whether a beat behind a leave was sent before it: a process that begins anew counts from the start and runs nothing."""
+        return d['count'] > l.count or d['state'] == 'draining' or bool(d['running'])
+
     def _wait(self, l, now):
         """How long this beat may wait for something to tell, ms.
 
