--- a/asterwharf/door/app.py
+++ b/asterwharf/door/app.py
@@ -154,7 +154,9 @@
         if r.here:
             return self.give(e, *r.here(self, e))
         self.b.now = boot_ms()
-        self.ferry.start(r.op, r.grp, e.args, lambda c, b: self.give(e, c, b))
+        # a listener that can tell is asked whether the caller still waits
+        waits = getattr(e.give, 'still_waiting', None)
+        self.ferry.start(r.op, r.grp, e.args, lambda c, b: self.give(e, c, b), caller=waits)
         self.dmn.wake()
 
     def give(self, e, code, body):
--- a/asterwharf/door/http.py
+++ b/asterwharf/door/http.py
@@ -34,6 +34,22 @@
         self.parser, self.size, self.cont, self.at = None, 0, False, boot_ms()
 
 
+class Reply:
+    """The answer to one request, given by a call: (status, body, headers), once."""
+
+    __slots__ = ('_http', '_line', '_response')
+
+    def __init__(self, http, line, response):
+        self._http, self._line, self._response = http, line, response
+
+    def __call__(self, status, raw, heads):
+        self._http.answer(self._line, self._response, status, raw, heads)
+
+    def still_waiting(self):
+        """Whether the connection still stands, as far as is known."""
+        return self._http.lines.get(self._line.sock) is self._line
+
+
 class Http(HTTP):
     """circuits.web's protocol component, reading one request at a time from each connection."""
 
@@ -127,7 +143,7 @@
         res.close = not keep
         ln.reset()
         ln.busy = True
-        self.app.take(req.method, req.path, req.qs, hdr, body, lambda *a: self._give(ln, res, *a))
+        self.app.take(req.method, req.path, req.qs, hdr, body, Reply(self, ln, res))
 
     def _bad(self, ln, code, why):
         """A message that can't be read ends its connection, with a numbered code first."""
@@ -140,7 +156,7 @@
         self.fire(write(ln.sock, head.encode() + raw))
         self.fire(close(ln.sock))
 
-    def _give(self, ln, res, status, raw, heads):
+    def answer(self, ln, res, status, raw, heads):
         if self.lines.get(ln.sock) is not ln:
             # the caller has gone; what it asked for has been done all the same
             self.app.count['callers.gone'] += 1
