--- a/asterwharf/base/codes.py
+++ b/asterwharf/base/codes.py
@@ -105,6 +105,7 @@
 _c(406, 'moving', 503, 'The tenant is on its way to another cell.', 'Come again after Retry-After.')
 _c(407, 'elsewhere', 307, 'Another node answers for this.', 'Follow Location.')
 _c(408, 'no_config', 503, 'No queues document has reached this node yet.', 'Come again after Retry-After.')
+_c(409, 'late', 503, 'It came after its deadline and was not carried out.', 'Send the same errand again.')
 _c(500, 'inner', 500, 'A fault of ours; nothing was changed by this process.', 'Report it with the log line.')
 _c(501, 'corrupt', 500, 'The data folder is corrupt.', 'See the runbook "disk wiped".')
 _c(
