--- a/asterwharf/scheduler/ferry.py
+++ b/asterwharf/scheduler/ferry.py
@@ -10,9 +10,9 @@
 )
 # the first protocol that tells clocks and refuses what comes after its deadline
 CLOCKED = 5
-# of the bound on silence: how long what may not be repeated is worth carrying out after it was sent, and how long it
-# waits before it is sent for word that its caller has gone
-WINDOW, SETTLE = 0.3, 0.03
+# of the bound on silence: how long what may not be repeated is worth carrying out after it was sent (a leader that looks
+# at what has come any later holds no lease), and how long it waits before it is sent for word that its caller has gone
+WINDOW, SETTLE = 0.8, 0.03
 # nodes that a request is passed on to by their hints before the router waits for a leader to show itself
 HINTS = 4
 
