--- a/asterwharf/sim/yard_operators.py
+++ b/asterwharf/sim/yard_operators.py
@@ -26,7 +26,8 @@
         node = f.pick(node)
 
         def act(nod, give):
-            find(nod, 'Ferry').start(op, 'core', copy.deepcopy(args), give, WAIT - 50)
+            # the listener sees the end of the connection behind a request that was held up
+            find(nod, 'Ferry').start(op, 'core', copy.deepcopy(args), give, WAIT - 50, lambda: not call.over)
 
         def got(code, body):
             if code in ('ok', 'stale', 'bad_config', 'bad_field', 'too_large', 'bad_json'):
@@ -36,7 +37,7 @@
                 return then(None, None)
             self.w.after(min(1600, PAUSE << min(n, PAUSES)), self.order, op, args, then, size, till, node, n + 1)
 
-        f.net.call('op', node, act, got, WAIT + size // 100)
+        call = f.net.call('op', node, act, got, WAIT + size // 100)
 
     def _sent(self, op, args, v, then=None):
         beg, f = self.w.t, self.fleet
--- a/tests/test_queues_fleet.py
+++ b/tests/test_queues_fleet.py
@@ -16,6 +16,7 @@
 from asterwharf.sim.fleet import Fleet
 from asterwharf.wire.schema import PROTO
 
+
 def fleet(seed=1, **kws):
     f = Fleet(seed, minions=0, edges=2, **kws).start()
     assert f.ready()
