--- a/tests/test_request_routing.py
+++ b/tests/test_request_routing.py
@@ -216,7 +216,7 @@
     f.w.heal()
     f.w.run(f.w.t + 3000)
     assert lost in ([], ['unsure'])
-    assert not f.chair(f.holder('core'), 'core').mac.atlas.emptied
+    assert not f.member(f.holder('core'), 'core').mac.atlas.emptied
 
 
 def test_an_answer_for_a_process_that_died_is_not_taken_for_its_successors():
@@ -226,7 +226,7 @@
     f.w.kill(third)
     send(f, 'zone_set', asker, zone='z1', emptied=True)
     # the order is with the leader, and can't be delivered without the one that asked
-    assert f.w.until(lambda: f.chair(leader, 'core').seat.waits, 100, 1)
+    assert f.w.until(lambda: f.member(leader, 'core').replica.pending, 100, 1)
     f.w.kill(asker)
     f.w.start(asker)
     # the first request of the new life, given before any connection stands
