Rename the ferry to the request router, an errand to a request, returned to response

Names only: `scheduler/request_router.py`, RequestRouter, PendingRequest, the kinds `request` and `response` (numbers 30 and 31 as before), the counters and `/status` and `/metrics` keys `requests`, `requests_open`, `request.OP` and `response.CODE`. The setting `errand_ms` keeps its name: it stands in operators' files.

--- a/asterwharf/door/app.py
+++ b/asterwharf/door/app.py
@@ -1,4 +1,4 @@
-"""The way of an errand through the door: policies as plug-ins behind one interface."""
+"""The way of a request through the door: policies as plug-ins behind one interface."""
 
 import json
 from urllib.parse import parse_qs, unquote
@@ -7,15 +7,15 @@
 from asterwharf.base.codes import TABLE, trouble
 from asterwharf.clock.boot import boot_ms
 from asterwharf.door.routes import match
-from asterwharf.scheduler.ferry import Ferry
+from asterwharf.scheduler.request_router import RequestRouter
 
 # of the time that leaving may take: how long callers still come, and how long nothing may have come before the end
 LINGER, QUIET = 0.375, 0.075
-# of the time an errand may take
+# of the time a request may take
 STALL = 6
 
 
-class Errand:
+class Request:
     """One request on its way."""
 
     __slots__ = ('args', 'b', 'body', 'doc', 'give', 'heads', 'method', 'path', 'query', 'route')
@@ -27,7 +27,7 @@
 
 
 class Policy:
-    """One stage: `judge` returns a Trouble to end the errand, or None to let it go on."""
+    """One stage: `judge` returns a Trouble to end the request, or None to let it go on."""
 
     __slots__ = ('app',)
 
@@ -79,10 +79,10 @@
 
     def judge(self, e):
         a = self.app
-        if e.route.open or len(a.ferry.trips) < a.b.set.buffer:
+        if e.route.open or len(a.router.pending) < a.b.set.buffer:
             return None
         a.count['refused.overload'] += 1
-        return trouble('overload', 'too many errands are under way here')
+        return trouble('overload', 'too many requests are under way here')
 
 
 class Prepare(Policy):
@@ -101,7 +101,7 @@
 
     def __init__(self, daemon):
         self.dmn, self.b, self.node = daemon, daemon.b, daemon.node
-        self.ferry = self.node.find(Ferry)
+        self.router = self.node.find(RequestRouter)
         self.chain = [p(self) for p in (Find, Identify, Parse, Admit, Prepare)]
         self.door, self.busy, self.last, self.left = None, 0, boot_ms(), 0
 
@@ -128,8 +128,8 @@
     def take(self, method, path, query, heads, body, give):
         self.busy += 1
         self.last = boot_ms()
-        self.count['errands'] += 1
-        e = Errand(method, path, query, heads, body, give, self.b)
+        self.count['requests'] += 1
+        e = Request(method, path, query, heads, body, give, self.b)
         try:
             for p in self.chain:
                 bad = p.judge(e)
@@ -156,7 +156,7 @@
         self.b.now = boot_ms()
         # a listener that can tell is asked whether the caller still waits
         waits = getattr(e.give, 'still_waiting', None)
-        self.ferry.start(r.op, r.grp, e.args, lambda c, b: self.give(e, c, b), caller=waits)
+        self.router.start(r.op, r.grp, e.args, lambda c, b: self.give(e, c, b), caller=waits)
         self.dmn.wake()
 
     def give(self, e, code, body):
--- a/asterwharf/door/routes.py
+++ b/asterwharf/door/routes.py
@@ -15,7 +15,7 @@
 
 
 class Route:
-    """One method on one path: an errand to a holder, or something this node knows itself."""
+    """One method on one path: a request to a holder, or something this node knows itself."""
 
     __slots__ = ('body', 'grp', 'here', 'method', 'op', 'open', 'parts', 'prepare')
 
@@ -182,7 +182,7 @@
         'fit': app.fit() == '',
         'holders': {g: {'name': n, 'view': v} for g, (n, v) in b.holders.items()},
         'links': sorted(b.links),
-        'errands': len(app.ferry.trips),
+        'requests': len(app.router.pending),
         'counts': dict(sorted(b.count.items())),
         'nodes': {
             n: {k: r[k] for k in ('role', 'zone', 'http')} for n, r in sorted(b.nodes.items()) if r['role'] != 'tend'
@@ -212,7 +212,7 @@
     b, gau = (
         app.b,
         {
-            'errands_open': len(app.ferry.trips),
+            'requests_open': len(app.router.pending),
             'links': len(app.b.links),
             'sequence': app.b.sequence,
             'queues': app.b.atlas.number,
--- a/asterwharf/furrow/node.py
+++ b/asterwharf/furrow/node.py
@@ -9,16 +9,16 @@
 from asterwharf.ring.watch import Watch
 from asterwharf.scheduler.atlas import Atlas
 from asterwharf.scheduler.clerk import Clerk
-from asterwharf.scheduler.ferry import Ferry
 from asterwharf.scheduler.garden import Garden
 from asterwharf.scheduler.news import Asker
+from asterwharf.scheduler.request_router import RequestRouter
 from asterwharf.wire.schema import PROTO
 
 
 def serve(st, inc, rng, load, now, wall):
     b = Board(st, 'furrow', inc, rng, now, wall)
     b.atlas, b.load, b.proto = Atlas(), load, PROTO
-    return Node(b, [Meet(b), Watch(b), Asker(b), Garden(b), Mender(b), Hub(b), Clerk(b), Ferry(b)])
+    return Node(b, [Meet(b), Watch(b), Asker(b), Garden(b), Mender(b), Hub(b), Clerk(b), RequestRouter(b)])
 
 
 def tend(st, inc, rng, now, wall, size):
--- a/asterwharf/orchard/gate.py
+++ b/asterwharf/orchard/gate.py
@@ -30,10 +30,10 @@
 
     __slots__ = ('swept',)
 
-    def on_errand(self, src, d):
+    def on_request(self, src, d):
         if d['op'] not in ELSEWHERE:
-            return super().on_errand(src, d)
-        self.b.send(src, 'returned', id=d['id'], code='no_path', body={'details': [ELSEWHERE[d['op']]]}, hint='')
+            return super().on_request(src, d)
+        self.b.send(src, 'response', id=d['id'], code='no_path', body={'details': [ELSEWHERE[d['op']]]}, hint='')
 
     def __init__(self, b, core):
         super().__init__(b, core)
--- a/asterwharf/orchard/node.py
+++ b/asterwharf/orchard/node.py
@@ -13,8 +13,8 @@
 from asterwharf.ring.watch import Watch
 from asterwharf.scheduler.atlas import COMMONS, Atlas
 from asterwharf.scheduler.core import Core
-from asterwharf.scheduler.ferry import Ferry
 from asterwharf.scheduler.news import Asker, Crier
+from asterwharf.scheduler.request_router import RequestRouter
 from asterwharf.wire.schema import PROTO
 
 
@@ -49,7 +49,7 @@
             Asker(b, core),
             Mender(b),
             Gate(b, core),
-            Ferry(b),
+            RequestRouter(b),
         ],
     )
 
@@ -57,4 +57,4 @@
 def edge(st, inc, rng, load, now, wall, proto=PROTO):
     b = Board(st, 'furrow', inc, rng, now, wall)
     b.atlas, b.load, b.proto = Atlas(), load, proto
-    return Node(b, [Meet(b), Watch(b), Asker(b), Mender(b), Ferry(b)])
+    return Node(b, [Meet(b), Watch(b), Asker(b), Mender(b), RequestRouter(b)])
--- a/asterwharf/scheduler/clerk.py
+++ b/asterwharf/scheduler/clerk.py
@@ -1,4 +1,4 @@
-"""Answers errands at the holders: the core's and the cell's. Pure."""
+"""Answers requests at the holders: the core's and the cell's. Pure."""
 
 import base64
 import heapq
@@ -36,14 +36,14 @@
 
     def __call__(self, code, body=None):
         hint = self._board.holders.get(self._group, ('', 0))[0] if code == 'no_holder' else ''
-        self._board.send(self._to, 'returned', id=self._id, code=code, body=body, hint=hint)
+        self._board.send(self._to, 'response', id=self._id, code=code, body=body, hint=hint)
 
 
 class Clerk(Controller):
-    """Looks an errand up, judges it, orders the change, answers when it is delivered."""
+    """Looks a request up, judges it, orders the change, answers when it is delivered."""
 
     __slots__ = ('core',)
-    hears = ('errand',)
+    hears = ('request',)
 
     def __init__(self, b, core=None):
         super().__init__(b)
@@ -55,7 +55,7 @@
         part = self.b.cells.get(grp)
         return part.member if part else None
 
-    def on_errand(self, src, d):
+    def on_request(self, src, d):
         member, give = self.member(d['grp']), Response(self.b, src, d)
         fn = getattr(self, 'do_' + d['op'], None)
         if fn is None:
@@ -64,7 +64,7 @@
             return give('no_holder', NOBODY)
         if give.late:
             return give('late', give.clock)
-        self.b.count[f"errand.{d['op']}"] += 1
+        self.b.count[f"request.{d['op']}"] += 1
         fn(d['args'] or {}, give, member)
 
     def _theirs(self, cell, ten, give):
--- a/asterwharf/scheduler/garden.py
+++ b/asterwharf/scheduler/garden.py
@@ -7,9 +7,9 @@
 from asterwharf.scheduler.atlas import COMMONS
 from asterwharf.scheduler.cell import Cell
 from asterwharf.scheduler.emptier import Emptier
-from asterwharf.scheduler.ferry import Ferry
 from asterwharf.scheduler.janitor import Janitor
 from asterwharf.scheduler.placer import Placer
+from asterwharf.scheduler.request_router import RequestRouter
 from asterwharf.scheduler.steward import Steward
 
 SEATS, PART = 5, 100
@@ -172,7 +172,7 @@
                 self.parts[ten] = -1 if last and body['part'] >= n else body['part'] + 1
 
         self.busy.add(ten)
-        self.b.node.find(Ferry).start('import', par['to'], args, got)
+        self.b.node.find(RequestRouter).start('import', par['to'], args, got)
 
     def _own(self, what, to):
         if what in self.busy:
@@ -186,4 +186,4 @@
 
         self.busy.add(what)
         was = self.b.atlas.own.get(what, '')
-        self.b.node.find(Ferry).start('own', 'core', {'what': what, 'was': was, 'cell': to}, got)
+        self.b.node.find(RequestRouter).start('own', 'core', {'what': what, 'was': was, 'cell': to}, got)
--- a/asterwharf/scheduler/handover.py
+++ b/asterwharf/scheduler/handover.py
@@ -41,7 +41,7 @@
             # a mark is a hash of tenant and identifier: those of others mean nothing where it goes
             rows += [{'v': pack('r_meta', {'sequence': n, 'gone': hs}, 1)} for n, hs in sorted(self.gone.items())]
         self.open.pop(ten, None)
-        # from now on an errand that comes here all the same is sent on
+        # from now on a request that comes here all the same is sent on
         self.owned[ten] = {'was': '', 'part': 0, 'done': False, 'away': True}
         self.parcels[ten] = {'tenant': ten, 'to': d['to'], 'rows': rows}
         self.dirty.update((f'parcel:{ten}', 'meta:'))
--- a/asterwharf/scheduler/ferry.py
+++ b/asterwharf/scheduler/request_router.py
@@ -1,10 +1,10 @@
-"""Carries errands from the node that took them to the holder that can answer. Pure."""
+"""Passes requests from the node that took them to the leader that can answer, and answers back. Pure."""
 
 from asterwharf.base.board import Controller
 from asterwharf.scheduler.operations import Repeat, operation
 from asterwharf.scheduler.peer_clocks import PeerClocks
 
-# refusals that another holder might not have given
+# refusals that another leader might not have given
 REFUSALS = frozenset(
     ('tenant_full', 'overload', 'unknown_tenant', 'beyond_limits', 'bad_size', 'bad_field', 'stale', 'bad_config')
 )
@@ -17,39 +17,53 @@
 HINTS = 4
 
 
-class Trip:
-    """One errand under way; each attempt to have it answered has an identifier of its own."""
-
-    __slots__ = ('args', 'caller', 'cell', 'end', 'grp', 'hops', 'id', 'next', 'op', 'open', 'then', 'unsure', 'what')
-
-    def __init__(self, tid, grp, op, args, end, then, caller):
-        self.id, self.grp, self.op, self.args, self.end, self.then = tid, grp, op, args, end, then
+class PendingRequest:
+    """One request under way; each attempt to have it answered has an identifier of its own."""
+
+    __slots__ = (
+        'args',
+        'caller',
+        'cell',
+        'end',
+        'group',
+        'hops',
+        'id',
+        'next',
+        'op',
+        'open',
+        'operation',
+        'then',
+        'unsure',
+    )
+
+    def __init__(self, identifier, group, op, args, end, then, caller):
+        self.id, self.group, self.op, self.args, self.end, self.then = identifier, group, op, args, end, then
         # whether its caller still waits for the answer
         self.caller = caller or (lambda: True)
-        self.what, self.cell, self.hops, self.next = operation(op), False, 0, 0
+        self.operation, self.cell, self.hops, self.next = operation(op), False, 0, 0
         # attempts without an answer: identifier -> node; whether one was answered "may have been taken"
         self.open, self.unsure = {}, False
 
     @property
     def maybe(self):
         """Whether it may have been taken by a node whose answer is not known."""
-        return self.what.repeat is not Repeat.READ and (self.unsure or bool(self.open))
+        return self.operation.repeat is not Repeat.READ and (self.unsure or bool(self.open))
 
     @property
     def again(self):
         """Whether another attempt may be made."""
-        return self.what.repeat is not Repeat.ONCE or not self.maybe
+        return self.operation.repeat is not Repeat.ONCE or not self.maybe
 
 
-class Ferry(Controller):
+class RequestRouter(Controller):
     """Sends, sends again where that is safe, and gives up in time: the last word is said at once."""
 
-    __slots__ = ('attempts', 'clocks', 'dark', 'known', 'life', 'n', 'trips', 'turn')
-    hears = ('returned', 'roll')
+    __slots__ = ('attempts', 'clocks', 'unreachable', 'leaders', 'life', 'number', 'pending', 'turn')
+    hears = ('response', 'roll')
 
     def __init__(self, b):
         super().__init__(b)
-        self.trips, self.attempts, self.n, self.turn, self.dark, self.known = {}, {}, 0, 0, {}, {}
+        self.pending, self.attempts, self.number, self.turn, self.unreachable, self.leaders = {}, {}, 0, 0, {}, {}
         self.clocks = PeerClocks()
         # an incarnation lasts as long as its disk: answers to an earlier life of this process must not be taken for ours
         self.life = f'{b.me}.{b.inc}.{b.wall:x}.{b.now:x}'
@@ -61,60 +75,64 @@
             return at.tenant(args['tenant'])
         return at.own.get(f'minion:{args.get("minion")}', 'commons')
 
-    def _lit(self, grp):
-        n = self.b.holders.get(grp, ('', 0))[0]
+    def _leader_in_reach(self, group):
+        n = self.b.holders.get(group, ('', 0))[0]
         return n == self.b.me or n in self.b.links
 
-    def _seats(self, grp):
-        among = self.b.atlas.seats(grp)
+    def _members(self, group):
+        among = self.b.atlas.seats(group)
         return sorted(
-            n for n, h in self.b.links.items() if (n in among if among else h['role'] == 'trellis') and self._near(n)
+            n
+            for n, h in self.b.links.items()
+            if (n in among if among else h['role'] == 'trellis') and self._reachable(n)
         )
 
-    def _near(self, n):
+    def _reachable(self, n):
         """Whether a request can be sent to the node: it is connected, and has told its clock if its release does."""
         h = self.b.links.get(n)
         return n == self.b.me or (h is not None and (min(h['proto'], self.b.proto) < CLOCKED or self.clocks.knows(n)))
 
-    def start(self, op, grp, args, then, ttl=0, caller=None):
-        """`then(code, body)` is called once, at the latest when the errand's time (`ttl` ms) is up.
+    def start(self, op, group, args, then, ttl=0, caller=None):
+        """`then(code, body)` is called once, at the latest when the request's time (`ttl` ms) is up.
 
         `caller()` tells whether the caller still waits; for one that does not, nothing is sent (again).
         """
         b = self.b
         # a full buffer is refused at once, not when its time is up
-        if len(self.trips) >= b.set.buffer:
+        if len(self.pending) >= b.set.buffer:
             b.count['refused.overload'] += 1
             return then('overload', {'retry_ms': 1000})
-        if grp == 'all':
-            return self._fan(op, args, then)
-        if grp == 'both':
-            return self._both(op, args, then)
-        was = 'cell' if grp == 'cell' else ''
-        grp = self._group(op, args) if was else grp
-        # where no holder has been in reach for long, that is said at once and not when the errand's time is up
-        if self.dark.get(grp, b.now) < b.now - b.set.view.silence_ms * 2 and not self._lit(grp):
+        if group == 'all':
+            return self._ask_all(op, args, then)
+        if group == 'both':
+            return self._ask_core_and_commons(op, args, then)
+        was = 'cell' if group == 'cell' else ''
+        group = self._group(op, args) if was else group
+        # where no leader has been in reach for long, that is said at once and not when the request's time is up
+        if self.unreachable.get(group, b.now) < b.now - b.set.view.silence_ms * 2 and not self._leader_in_reach(group):
             return then(
                 'no_holder',
-                {'retry_ms': 1000 + int(b.rng.random() * 3000), 'details': [f'the cell {grp} is out of reach']},
+                {'retry_ms': 1000 + int(b.rng.random() * 3000), 'details': [f'the cell {group} is out of reach']},
             )
-        self.n += 1
-        t = Trip(f'{self.life}.{self.n}', grp, op, args, b.now + (ttl or b.set.errand_ms), then, caller)
+        self.number += 1
+        t = PendingRequest(
+            f'{self.life}.{self.number}', group, op, args, b.now + (ttl or b.set.errand_ms), then, caller
+        )
         t.cell = bool(was)
-        self.trips[t.id] = t
-        if caller and t.what.repeat is Repeat.ONCE:
+        self.pending[t.id] = t
+        if caller and t.operation.repeat is Repeat.ONCE:
             # what lay in a cut connection comes just before the word that its caller has gone
             t.next = b.now + b.set.view.silence_ms * SETTLE
             return None
-        return self._go(t)
+        return self._attempt(t)
 
-    def _fan(self, op, args, then):
+    def _ask_all(self, op, args, then):
         """Asks every cell and lays their answers together; a cell out of reach is named."""
-        grps, got, bad = self.b.atlas.groups(), [], []
+        groups, got, bad = self.b.atlas.groups(), [], []
 
-        def one(grp, code, body):
-            (got if code == 'ok' else bad).append((grp, code, body))
-            if len(got) + len(bad) < len(grps):
+        def one(group, code, body):
+            (got if code == 'ok' else bad).append((group, code, body))
+            if len(got) + len(bad) < len(groups):
                 return
             if not got:
                 return then(bad[0][1], bad[0][2])
@@ -126,10 +144,10 @@
                 out['missing'] = sorted(g for g, _, _ in bad)
             then('ok', out)
 
-        for g in grps:
+        for g in groups:
             self.start(op, g, args, lambda c, b, g=g: one(g, c, b))
 
-    def _both(self, op, args, then):
+    def _ask_core_and_commons(self, op, args, then):
         """Asks the core and, once that says yes, the commons, whose seats are on the same machines."""
 
         def core(code, body):
@@ -146,31 +164,31 @@
         self.start(op, 'core', args, core)
 
     # --- attempts
-    def _pick(self, t, hint=''):
-        for n in (hint, self.b.holders.get(t.grp, ('', 0))[0]):
-            if n and self._near(n):
+    def _choose(self, t, hint=''):
+        for n in (hint, self.b.holders.get(t.group, ('', 0))[0]):
+            if n and self._reachable(n):
                 return n
-        core = self._seats(t.grp)
+        core = self._members(t.group)
         self.turn += 1
         return core[self.turn % len(core)] if core else ''
 
-    def _go(self, t, hint=''):
+    def _attempt(self, t, hint=''):
         """Makes another attempt, if one may be made and somebody is in reach."""
         b = self.b
         if not t.again or not t.caller():
             return self._give_up(t)
-        to, t.next = self._pick(t, hint), b.now + b.set.view.silence_ms // 4
+        to, t.next = self._choose(t, hint), b.now + b.set.view.silence_ms // 4
         if not to:
             return
         t.hops += 1
-        self.n += 1
-        attempt = f'{t.id}/{self.n}'
+        self.number += 1
+        attempt = f'{t.id}/{self.number}'
         t.open[attempt], self.attempts[attempt] = to, t
         b.send(
             to,
-            'errand',
+            'request',
             id=attempt,
-            grp=t.grp,
+            grp=t.group,
             op=t.op,
             args=t.args,
             ttl=max(1, t.end - b.now),
@@ -182,16 +200,16 @@
     def _deadline(self, t, to):
         """By the receiver's clock: when it must not be carried out any more; 0 for never."""
         b = self.b
-        if not t.what.expires:
+        if not t.operation.expires:
             return 0
         end = t.end
-        if t.what.repeat is Repeat.ONCE:
+        if t.operation.repeat is Repeat.ONCE:
             end = min(end, b.now + int(b.set.view.silence_ms * WINDOW))
         if to == b.me:
             return end
         return self.clocks.translate(to, end) if self.clocks.knows(to) else 0
 
-    def on_returned(self, src, d):
+    def on_response(self, src, d):
         t = self.attempts.get(d['id'])
         # an answer counts once, and only from the node that was asked
         if t is None or t.open.get(d['id']) != src:
@@ -211,13 +229,13 @@
             # a later attempt is under way
             return
         if code == 'late':
-            return self._go(t, src)
+            return self._attempt(t, src)
         if code == 'moving':
             t.next = now + silence // 4
         elif d['hint'] and d['hint'] != src and t.hops < HINTS:
-            self._go(t, d['hint'])
+            self._attempt(t, d['hint'])
         else:
-            # until a holder shows itself; asking on and on would only keep it from doing so
+            # until a leader shows itself; asking on and on would only keep it from doing so
             t.next = now + int(silence * (0.5 + self.b.rng.random() * 0.5))
 
     def _settle(self, t, code, body):
@@ -232,11 +250,11 @@
         self._end(t, 'unsure' if t.maybe else 'no_holder', {'retry_ms': 1000})
 
     def _end(self, t, code, body):
-        if self.trips.pop(t.id, None) is None:
+        if self.pending.pop(t.id, None) is None:
             return
         for attempt in t.open:
             del self.attempts[attempt]
-        self.b.count[f'returned.{code}'] += 1
+        self.b.count[f'response.{code}'] += 1
         t.then(code, body)
 
     # --- connections, clocks and time
@@ -246,30 +264,30 @@
 
     def lost(self, peer):
         self.clocks.forget(peer)
-        for t in list(self.trips.values()):
+        for t in list(self.pending.values()):
             if peer in t.open.values():
                 t.next = self.b.now
 
     def tick(self):
         now = self.b.now
         for g in self.b.atlas.groups() + ['core']:
-            hld = self.b.holders.get(g)
-            if self._lit(g):
-                self.dark.pop(g, None)
-                if self.known.get(g) != hld:
-                    self.known[g] = hld
-                    # a new holder: what waited goes to it, not all in one moment
-                    for t in self.trips.values():
+            leader = self.b.holders.get(g)
+            if self._leader_in_reach(g):
+                self.unreachable.pop(g, None)
+                if self.leaders.get(g) != leader:
+                    self.leaders[g] = leader
+                    # a new leader: what waited goes to it, not all in one moment
+                    for t in self.pending.values():
                         # and what lies with the old one: it may never return
-                        if t.grp == g and hld[0] not in t.open.values():
+                        if t.group == g and leader[0] not in t.open.values():
                             t.next = min(t.next, now + int(self.b.rng.random() * self.b.set.view.silence_ms / 4))
             else:
-                self.dark.setdefault(g, now)
-        for t in list(self.trips.values()):
+                self.unreachable.setdefault(g, now)
+        for t in list(self.pending.values()):
             if now >= t.end:
                 self._give_up(t)
             elif now >= t.next:
                 t.hops = 0
                 # the tenant may have a new cell by now
-                t.grp = self._group(t.op, t.args) if t.cell else t.grp
-                self._go(t)
+                t.group = self._group(t.op, t.args) if t.cell else t.group
+                self._attempt(t)
--- a/asterwharf/scheduler/steward.py
+++ b/asterwharf/scheduler/steward.py
@@ -1,8 +1,8 @@
 """The holder's side of the minion links: registers, confirms beats, orders starts and stops, keeps the timers. Pure."""
 
 from asterwharf.base.board import Controller
-from asterwharf.scheduler.ferry import Ferry
 from asterwharf.scheduler.model import PLACED, RECOVERING, STOPPING
+from asterwharf.scheduler.request_router import RequestRouter
 
 
 class Tie:
@@ -101,7 +101,9 @@
         what = 'minion:' + nam
         if what not in self.asked or b.now - self.asked[what] > b.set.view.silence_ms:
             self.asked[what] = b.now
-            b.node.find(Ferry).start('own', 'core', {'what': what, 'was': '', 'cell': self.cell.grp}, lambda c, x: None)
+            b.node.find(RequestRouter).start(
+                'own', 'core', {'what': what, 'was': '', 'cell': self.cell.grp}, lambda c, x: None
+            )
 
     def _terms(self):
         """The confirmed settings of the link, which the agent takes over."""
--- a/asterwharf/sim/actors.py
+++ b/asterwharf/sim/actors.py
@@ -9,7 +9,7 @@
 
 
 class Caller:
-    """One errand at a time per job: submit until answered, then ask until it is finished."""
+    """One request at a time per job: submit until answered, then ask until it is finished."""
 
     def __init__(self, w, edges, obs, name='caller'):
         self.w, self.edges, self.obs, self.name, self.n = w, edges, obs, name, 0
@@ -20,7 +20,7 @@
         return self.w.rng.choice(up or self.edges)
 
     def _call(self, op, grp, args, then):
-        """One errand through some edge; `then` gets None after silence."""
+        """One request through some edge; `then` gets None after silence."""
         w, e = self.w, self._edge()
         h = w.hosts[e]
         box = {'done': False}
@@ -36,7 +36,7 @@
                 then(None, None)
 
         def act():
-            f = next(c for c in h.node.ctl if type(c).__name__ == 'Ferry')
+            f = next(c for c in h.node.ctl if type(c).__name__ == 'RequestRouter')
             h.node.b.now, h.node.b.wall = w.clocks(h)
             f.start(op, grp, args, got)
 
--- a/asterwharf/sim/operators.py
+++ b/asterwharf/sim/operators.py
@@ -76,14 +76,14 @@
     seen = []
 
     def count(last):
-        now = f.w.count.get('errand', 0)
+        now = f.w.count.get('request', 0)
         seen.append(now - last)
         if f.w.t < 60000:
             f.w.after(500, count, now)
 
-    f.w.after(13000, count, f.w.count.get('errand', 0))
+    f.w.after(13000, count, f.w.count.get('request', 0))
     # 150 jobs wait, each sent again at most every half second by its caller
-    f.checks.append(lambda: f'a storm of errands: {max(seen)} in half a second' if max(seen) > 300 else '')
+    f.checks.append(lambda: f'a storm of requests: {max(seen)} in half a second' if max(seen) > 300 else '')
 
 
 @scenario(span=25000)
--- a/asterwharf/sim/yard_clients.py
+++ b/asterwharf/sim/yard_clients.py
@@ -9,7 +9,7 @@
 WAIT, TRIES, PAUSE = 3000, 4, 100
 # between two questions about one job's state; after its last task has ended
 ASK, SOON = (2500, 4500), (80, 300)
-# a ferry is told to be done a moment before the client gives up
+# the router is told to be done a moment before the client gives up
 MARGIN = 60
 # what an edge says by itself: a path that no queue has, no configuration yet
 NO_QUEUE, NO_CONFIG = 'no_queue', 'no_config'
@@ -141,7 +141,7 @@
             else:
                 args2 = dict(args, queue=q.name)
             ttl = max(50, wait - MARGIN - (w.t - asked))
-            return find(node, 'Ferry').start(op, 'commons', args2, give, ttl)
+            return find(node, 'RequestRouter').start(op, 'commons', args2, give, ttl)
 
         def got(code, body):
             if code in (SILENT, BROKEN, CLOSED):
--- a/asterwharf/sim/yard_operators.py
+++ b/asterwharf/sim/yard_operators.py
@@ -27,7 +27,7 @@
 
         def act(nod, give):
             # the listener sees the end of the connection behind a request that was held up
-            find(nod, 'Ferry').start(op, 'core', copy.deepcopy(args), give, WAIT - 50, lambda: not call.over)
+            find(nod, 'RequestRouter').start(op, 'core', copy.deepcopy(args), give, WAIT - 50, lambda: not call.over)
 
         def got(code, body):
             if code in ('ok', 'stale', 'bad_config', 'bad_field', 'too_large', 'bad_json'):
--- a/asterwharf/trellis/node.py
+++ b/asterwharf/trellis/node.py
@@ -8,9 +8,9 @@
 from asterwharf.scheduler.atlas import COMMONS, Atlas
 from asterwharf.scheduler.clerk import Clerk
 from asterwharf.scheduler.core import Core
-from asterwharf.scheduler.ferry import Ferry
 from asterwharf.scheduler.garden import Garden, Part, Warden
 from asterwharf.scheduler.news import Asker, Crier
+from asterwharf.scheduler.request_router import RequestRouter
 from asterwharf.wire.schema import PROTO
 
 
@@ -33,6 +33,6 @@
             Garden(b),
             Mender(b),
             Clerk(b, core),
-            Ferry(b),
+            RequestRouter(b),
         ],
     )
--- a/asterwharf/wire/daemon.py
+++ b/asterwharf/wire/daemon.py
@@ -250,7 +250,7 @@
             return self.reread()
         if self.b.leaving:
             return self.stop_now(0)
-        # fitness turns false first, duties and open errands are seen to, then we go
+        # fitness turns false first, duties and open requests are seen to, then we go
         self.b.leaving, self.end = True, boot_ms() + self.b.set.leave_ms
         logs.say('info', 'leaving')
 
--- a/asterwharf/wire/kinds.py
+++ b/asterwharf/wire/kinds.py
@@ -51,11 +51,11 @@
 kind(18, 'transfer_leadership', {'grp': 's', 'view': 'l'})
 _JOIN_REQUEST = {'grp': 's', 'inc': 's', 'op': 'l'}
 kind(19, 'join_request', _JOIN_REQUEST, (5, dict(_JOIN_REQUEST, leaving='b')))
-# --- errands and news
-_ERRAND = {'id': 's', 'grp': 's', 'op': 's', 'args': 'j', 'ttl': 'l', 'hops': 'l'}
+# --- requests and news
+_REQUEST = {'id': 's', 'grp': 's', 'op': 's', 'args': 'j', 'ttl': 'l', 'hops': 'l'}
 # `deadline`: by the receiver's steady clock in ms; later than that it is not carried out (0: whenever it comes)
-kind(30, 'errand', _ERRAND, (5, dict(_ERRAND, deadline='l')))
-kind(31, 'returned', {'id': 's', 'code': 's', 'body': 'j', 'hint': 's'})
+kind(30, 'request', _REQUEST, (5, dict(_REQUEST, deadline='l')))
+kind(31, 'response', {'id': 's', 'code': 's', 'body': 'j', 'hint': 's'})
 _ASK = {'id': 's', 'sequence': 'l', 'wait': 'l'}
 kind(32, 'ask', _ASK, (2, dict(_ASK, dsequence='l')))
 _NEWS = {'id': 's', 'sequence': 'l', 'doc': 'y', 'ok': 'b', 'hint': 's'}
--- a/tests/breaks.py
+++ b/tests/breaks.py
@@ -116,11 +116,13 @@
 
 @breaks('task of a job that was not taken', 'answers_lost', 1)
 def refuses_when_unsure(mp):
-    """An errand whose fate is unknown is answered as not taken."""
-    from asterwharf.scheduler import ferry
+    """A request whose fate is unknown is answered as not taken."""
+    from asterwharf.scheduler import request_router
 
-    old = ferry.Ferry._end
-    mp.setattr(ferry.Ferry, '_end', lambda s, t, c, b: old(s, t, 'tenant_full' if c == 'unsure' else c, b))
+    old = request_router.RequestRouter._end
+    mp.setattr(
+        request_router.RequestRouter, '_end', lambda s, t, c, b: old(s, t, 'tenant_full' if c == 'unsure' else c, b)
+    )
 
 
 @breaks('more work than room', 'drains', 1)
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -155,7 +155,7 @@
         w.send(req('PUT', f'/v1/tenants/basin/jobs/gone{i}', json.dumps(JOB).encode()))
         w.s.close()
     assert live.until(lambda: live.ask('e0', 'GET', '/v1/tenants/basin/jobs/gone4')[0] == 200)
-    assert live.until(lambda: live.status('e0')['errands'] == 0)
+    assert live.until(lambda: live.status('e0')['requests'] == 0)
 
 
 def test_a_foreign_stream_on_the_wire_ends_and_harms_nobody(live):
--- a/tests/test_orchard_views.py
+++ b/tests/test_orchard_views.py
@@ -216,7 +216,7 @@
 )
 def test_what_makes_no_sense_here_has_its_number(c, op):
     got = []
-    c.ferry.start(
+    c.router.start(
         op,
         'commons',
         {'tenant': 't', 'id': 'j', 'spec': {}, 'minion': 'm', 'config': {}, 'base': 0},
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -125,7 +125,7 @@
     assert f.ready()
     got, beg = [], f.w.t
     nod = f.node('e0')
-    fer = next(c for c in nod.ctl if type(c).__name__ == 'Ferry')
+    fer = next(c for c in nod.ctl if type(c).__name__ == 'RequestRouter')
     for i in range(40):
         fer.start(
             'submit', 'cell', {'tenant': 'basin', 'id': f'b{i}', 'spec': SMALL}, lambda c, b: got.append((c, b, f.w.t))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -17,7 +17,7 @@
 from asterwharf.base import settings as own
 from asterwharf.consensus.member import group_members
 from asterwharf.scheduler import queues
-from asterwharf.scheduler.ferry import Ferry
+from asterwharf.scheduler.request_router import RequestRouter
 from asterwharf.sim.fleet import Fleet
 
 ROOT = Path(__file__).parent.parent
@@ -212,7 +212,7 @@
         speech.read(raw)
 
 
-# --- clients and minions, in front of a ferry and a tender that the test speaks for
+# --- clients and minions, in front of a router and a tender that the test speaks for
 class Board:
     def __init__(self, st):
         self.set, self.count, self.leaving, self.me, self.links, self.holders = st, Counter(), False, 'me', {'h': {}}, {'commons': ('h', 1)}
@@ -287,7 +287,7 @@
 ID = '5c0e7a21d94b36f8'
 
 
-def test_a_clients_calls_become_errands(dmn):
+def test_a_clients_calls_become_requests(dmn):
     f = front.Front(dmn)
     a = Asked(f, 'POST', f'/lo/{ID}', JOB, x_asterwharf_time_left_ms='1500')
     op, grp, args, then, ttl = dmn.trips[0]
@@ -392,4 +392,4 @@
 def test_a_core_of_one_founds_itself():
     f = Fleet(5, core=1, edges=1, minions=1).start()
     assert f.w.until(lambda: f.holder('core') == 't0' and f.holder('commons') == 't0', 20000)
-    assert isinstance(f.w.hosts['t0'].node.find(Ferry), Ferry)
+    assert isinstance(f.w.hosts['t0'].node.find(RequestRouter), RequestRouter)
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -78,7 +78,7 @@
 
 
 # --- operators
-def test_a_configuration_becomes_an_errand_and_each_answer_its_status(dmn):
+def test_a_configuration_becomes_a_request_and_each_answer_its_status(dmn):
     c = control.Control(dmn)
     a = Asked(c, 'POST', '/config/replace', DOC, x_asterwharf_based_on='5')
     op, grp, args, then, ttl = dmn.trips[0]
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from asterwharf.door.app import Errand
+from asterwharf.door.app import Request
 from asterwharf.door.routes import match
 from asterwharf.scheduler import queues
 from asterwharf.scheduler.accepted import ORDERS_KEPT
@@ -124,7 +124,7 @@
     for method, body in (('PUT', doc(1)), ('PATCH', {'number': 1, 'set': {'queues': [queue(1)]}})):
         for more, bad in (({}, False), ({'a': functools.reduce(lambda d, _: {'a': d}, range(queues.DEPTH), {})}, True)):
             route, args, _ = match(method, ['v1', 'queues'])
-            e = Errand(method, '/v1/queues', '', {'If-Match': '"0"'}, b'', None)
+            e = Request(method, '/v1/queues', '', {'If-Match': '"0"'}, b'', None)
             e.args, e.doc = args, json.loads(json.dumps(body))
             (e.doc if method == 'PUT' else e.doc['set']['queues'][0])['more'] = more
             got = route.prepare(e)
--- a/tests/test_queues_fleet.py
+++ b/tests/test_queues_fleet.py
@@ -11,7 +11,7 @@
 from asterwharf.base.settings import View
 from asterwharf.fleet.live import Live
 from asterwharf.scheduler import queues
-from asterwharf.scheduler.ferry import Ferry
+from asterwharf.scheduler.request_router import RequestRouter
 from asterwharf.sickle.ask import one
 from asterwharf.sim.fleet import Fleet
 from asterwharf.wire.schema import PROTO
@@ -29,7 +29,7 @@
 
     def act():
         h.node.b.now, h.node.b.wall = f.w.clocks(h)
-        h.node.find(Ferry).start(op, 'core', args, lambda code, body: got.append((code, body)))
+        h.node.find(RequestRouter).start(op, 'core', args, lambda code, body: got.append((code, body)))
     f.w._do(h, act)
     return got
 
@@ -172,13 +172,13 @@
 
 def test_a_refusal_says_nothing_of_an_earlier_sending():
     f = fleet(5)
-    fer, got = f.node('e0').find(Ferry), []
+    fer, got = f.node('e0').find(RequestRouter), []
     for code in ('stale', 'bad_config'):
         fer.start('queues_put', 'core', {}, lambda c, b: got.append(c))
-        t = list(fer.trips.values())[-1]
+        t = list(fer.pending.values())[-1]
         t.unsure = True
         [(attempt, node)] = t.open.items()
-        fer.on_returned(node, {'id': attempt, 'code': code, 'body': {}, 'hint': ''})
+        fer.on_response(node, {'id': attempt, 'code': code, 'body': {}, 'hint': ''})
     assert got == ['unsure', 'unsure']
 
 
--- a/tests/test_request_breaks.py
+++ b/tests/test_request_breaks.py
@@ -6,7 +6,7 @@
 from yard_cell import QUEUES, Cell
 
 from asterwharf.orchard.tender import Tender
-from asterwharf.scheduler import clerk, ferry
+from asterwharf.scheduler import clerk, request_router
 from asterwharf.scheduler.operations import Operation, Repeat
 from asterwharf.scheduler.peer_clocks import PeerClocks
 
@@ -23,45 +23,45 @@
 
 def one_life(mp):
     """Requests are numbered from 1 in each life of the process."""
-    old = ferry.Ferry.__init__
+    old = request_router.RequestRouter.__init__
 
     def begin(self, b):
         old(self, b)
         self.life = f'{b.me}.{b.inc}'
 
-    mp.setattr(ferry.Ferry, '__init__', begin)
+    mp.setattr(request_router.RequestRouter, '__init__', begin)
 
 
 def all_repeated(mp):
     """Every operation is sent again after a silence."""
-    mp.setattr(ferry, 'operation', lambda name: Operation(name, Repeat.SAME, '', True))
+    mp.setattr(request_router, 'operation', lambda name: Operation(name, Repeat.SAME, '', True))
 
 
 def from_anybody(mp):
     """An answer counts whoever gives it."""
-    old = ferry.Ferry.on_returned
+    old = request_router.RequestRouter.on_response
 
     def returned(self, src, d):
         t = self.attempts.get(d['id'])
         old(self, t.open.get(d['id'], src) if t else src, d)
 
-    mp.setattr(ferry.Ferry, 'on_returned', returned)
+    mp.setattr(request_router.RequestRouter, 'on_response', returned)
 
 
 def gone_callers_served(mp):
     """Nobody asks whether the caller still waits."""
-    old = ferry.Trip.__init__
+    old = request_router.PendingRequest.__init__
 
     def begin(self, *args):
         old(self, *args)
         self.caller = lambda: True
 
-    mp.setattr(ferry.Trip, '__init__', begin)
+    mp.setattr(request_router.PendingRequest, '__init__', begin)
 
 
 def refusals_believed(mp):
     """A refusal is the last word, whatever became of other attempts."""
-    mp.setattr(ferry, 'REFUSALS', frozenset())
+    mp.setattr(request_router, 'REFUSALS', frozenset())
 
 
 def left_come_back(mp):
--- a/tests/test_request_routing.py
+++ b/tests/test_request_routing.py
@@ -7,7 +7,7 @@
 from asterwharf.base.board import Board
 from asterwharf.base.settings import Settings
 from asterwharf.scheduler.atlas import Atlas
-from asterwharf.scheduler.ferry import Ferry
+from asterwharf.scheduler.request_router import RequestRouter
 from asterwharf.sim.fleet import Fleet
 from asterwharf.wire.schema import PROTO
 
@@ -23,7 +23,7 @@
         st = Settings(name='e0', bind='10.0.0.9:1', seeds=['10.0.0.1:1'])
         self.board = Board(st, 'furrow', 'inc', random.Random(1), 5000, 1_700_000_005_000)
         self.board.atlas, self.board.proto = Atlas(), PROTO
-        self.router, self.answers = Ferry(self.board), []
+        self.router, self.answers = RequestRouter(self.board), []
         self.board.holders['core'] = ('t0', 1)
         for name in ('t0', 't1', 't2'):
             self.connect(name)
@@ -40,12 +40,12 @@
 
     def sent(self):
         """(node, message) of the requests that went out since the last look."""
-        out = [(e[1], e[3]) for e in self.board.out if e[0] == 'send' and e[2] == 'errand']
+        out = [(e[1], e[3]) for e in self.board.out if e[0] == 'send' and e[2] == 'request']
         self.board.out.clear()
         return out
 
     def answer(self, src, request, code, body=None, hint=''):
-        self.router.on_returned(src, {'id': request['id'], 'code': code, 'body': body, 'hint': hint})
+        self.router.on_response(src, {'id': request['id'], 'code': code, 'body': body, 'hint': hint})
         return self.sent()
 
     def run(self, ms):
@@ -189,7 +189,7 @@
 
     def act():
         h.node.b.now, h.node.b.wall = f.w.clocks(h)
-        h.node.find(Ferry).start(op, 'core', args, lambda code, body: got.append(code), PATIENCE)
+        h.node.find(RequestRouter).start(op, 'core', args, lambda code, body: got.append(code), PATIENCE)
 
     f.w._do(h, act)
     return got
@@ -231,6 +231,6 @@
     f.w.start(asker)
     # the first request of the new life, given before any connection stands
     got, h = [], f.w.hosts[asker]
-    f.w._do(h, lambda: h.node.find(Ferry).start('emptied', 'core', {}, lambda c, b: got.append((c, b))))
+    f.w._do(h, lambda: h.node.find(RequestRouter).start('emptied', 'core', {}, lambda c, b: got.append((c, b))))
     assert f.w.until(lambda: got, 8000, 10)
     assert got[0][0] in ('ok', 'no_holder', 'unsure') and (got[0][0] != 'ok' or 'zones' in got[0][1])
--- a/tests/yard_cell.py
+++ b/tests/yard_cell.py
@@ -52,7 +52,9 @@
             self.plot.tender,
             self.plot.placer,
         )
-        self.gate, self.ferry = (next(c for c in self.node.ctl if type(c).__name__ == k) for k in ('Gate', 'Ferry'))
+        self.gate, self.router = (
+            next(c for c in self.node.ctl if type(c).__name__ == k) for k in ('Gate', 'RequestRouter')
+        )
 
     @property
     def wall(self):
@@ -89,9 +91,9 @@
         return bool(cond())
 
     def ask(self, op, **args):
-        """(code, body) of an errand."""
+        """(code, body) of a request."""
         got, grp = [], args.pop('grp', 'commons')
-        self.ferry.start(op, grp, args, lambda *r: got.append(r))
+        self.router.start(op, grp, args, lambda *r: got.append(r))
         self.turn()
         assert self.until(lambda: got)
         # what was said must pass the wire
