--- a/asterwharf/fleet/callers.py
+++ b/asterwharf/fleet/callers.py
@@ -9,7 +9,10 @@
 from asterwharf.fleet.operators import Operators
 from asterwharf.wire.ask import Asks
 
-AGAIN = (0, 503, 504)
+
+def unclear(status):
+    """No answer (0), a 5xx, a request timeout or too many requests: the same request is sent again, to any door."""
+    return status in (0, 408, 429) or status >= 500
 
 
 class Callers(BaseComponent):
@@ -97,7 +100,7 @@
 
         def got(sts, doc2, hds):
             self._note(key, op, sts, doc2, beg, door)
-            wait = int(hds.get('Retry-After', hds.get('RETRY-AFTER', 1))) * 1000 if sts in AGAIN else 0
+            wait = int(hds.get('Retry-After', hds.get('RETRY-AFTER', 1))) * 1000 if unclear(sts) else 0
             then(sts, doc2, wait)
 
         self.asks.request(door, method, f'/v1/tenants/{ten}/jobs/{jid}', doc, got, 8000, self.heads)
@@ -134,7 +137,7 @@
                     self.kept[key] = boot_ms() - self.first[key]
                     self.later(700, self._ask, key)
                 return
-            if sts in AGAIN:
+            if unclear(sts):
                 self.later(max(300, wait) * self.rng.uniform(0.8, 1.2), self._submit, key)
 
         self._call('submit', 'PUT', key, self.specs[key], then)
@@ -152,7 +155,7 @@
     def _cancel(self, key):
         def then(sts, doc, wait):
             # unknown while its own sending is still under way: it may be taken yet
-            if sts in (202, *AGAIN) or sts == 404 and key not in self.kept:
+            if sts == 202 or unclear(sts) or sts == 404 and key not in self.kept:
                 self.later(max(500, wait), self._cancel, key)
 
         self.told.append((wall_ms(), key, 'cancel_asked', '', {}, 0, ''))
--- a/asterwharf/sickle/ask.py
+++ b/asterwharf/sickle/ask.py
@@ -6,6 +6,14 @@
 
 from asterwharf.base.settings import address
 
+# Statuses besides 5xx after which another door may still do what this one did not: request timeout, too many requests.
+REQUEST_TIMEOUT, TOO_MANY_REQUESTS = 408, 429
+
+
+def goes_on(status):
+    """Whether a caller goes on to another door after this status: it is no clear refusal of the request itself."""
+    return status >= 500 or status in (REQUEST_TIMEOUT, TOO_MANY_REQUESTS)
+
 
 class Refused(Exception):
     """A result code that is not a success."""
@@ -46,8 +54,7 @@
         if sts < 300:
             return sts, got
         last = Refused(got.get('name', 'inner'), got)
-        # another door may still reach the holder
-        if sts not in (503, 504):
+        if not goes_on(sts):
             raise last
     raise last
 
--- a/bench/scale/hollow_clients.py
+++ b/bench/scale/hollow_clients.py
@@ -87,7 +87,7 @@
             if 200 <= status < 300:
                 self.log('kept', jid, n)
                 return self.wire.after(ms + ASK / 4, self.ask, jid, q, 0)
-            if n >= TRIES or 400 <= status < 500 and status != 429:
+            if n >= TRIES or 400 <= status < 500 and status not in (408, 429):
                 return self.log('lost', jid, status)
             self.wire.after(AGAIN << min(n, 3), self.send, jid, q, body, ms, n + 1)
 
