Give a half-open connection up when its peer dials anew

Cause: after a one-way cut one end has given the connection up while the reset it sent was lost, so the other end still holds it. When the peer dialled anew, Daemon._greet kept the old one by the tie-break for two dials at once (the one dialled by the lesser name) and dropped the new one as a second connection, about three times a second, for ten seconds and more. Ruled out: the pause between dials (they connect at once after the heal), the kernel's limit on unacknowledged bytes (it ends the other end only). Now a connection on which nothing was heard for two bounds gives way, and the node hears that the peer was lost and is up.

--- a/asterwharf/wire/daemon.py
+++ b/asterwharf/wire/daemon.py
@@ -22,6 +22,9 @@
 SLOWEST = 100
 # of the bound on silence: how long a dial may take; what was sent into a cut is sent again ever more seldom, a new dial at once
 DIAL = 1.0
+# of the bound on silence: how long a connection may have said nothing before its peer's new one takes its place. A live peer says its
+# roll at least so often, and two dials at once meet within the time that a dial may take
+HALF_OPEN = 2.0
 # how often the settings file is looked at, in ms: it may change without a signal
 LOOK = 1000
 
@@ -166,8 +169,7 @@
         c.peer = nam
         old = self.peers.get(nam)
         if old is not None and old is not c:
-            # both ends must keep the same one of two: the one dialled by the lesser name
-            keep = old if (old.out == (self.b.me < nam)) and doc['inc'] == self.b.links[nam]['inc'] else c
+            keep = old if self._stays(old, nam, doc['inc']) else c
             lose = c if keep is old else old
             if keep is old:
                 c.peer = None
@@ -175,7 +177,8 @@
                 return False
             old.peer = None
             self.drop(old, 'replaced')
-            if self.b.links[nam]['inc'] != doc['inc']:
+            # what was said into a half-open connection is lost, as with a process that has ended
+            if self.b.links[nam]['inc'] != doc['inc'] or self._half_open(old):
                 self.node.lost(nam, boot_ms(), self.trials.wall())
         self.peers[nam] = c
         c.patience(self.b.set.view.silence_ms * 3)
@@ -183,6 +186,18 @@
             self.node.up(nam, doc, boot_ms(), self.trials.wall())
         return True
 
+    def _stays(self, old, peer, incarnation):
+        """Whether the connection that `peer` has stays when the same process greets on another one.
+
+        Both ends must keep the same one of two dials at once: the one dialled by the lesser name. But a peer that
+        dials long after the last word on the old one has lost that end of it; a cut may have swallowed its reset.
+        """
+        ours = self.b.me < peer
+        return old.out == ours and incarnation == self.b.links[peer]['inc'] and not self._half_open(old)
+
+    def _half_open(self, old):
+        return boot_ms() - old.heard_at > self.b.set.view.silence_ms * HALF_OPEN
+
     def gone(self, c):
         """A connection has closed."""
         self.conns.pop(c.key, None)
--- a/asterwharf/wire/links.py
+++ b/asterwharf/wire/links.py
@@ -20,6 +20,7 @@
     def setup(self, dmn, key):
         self.dmn, self.key, self.peer, self.cutter = dmn, key, None, Cutter()
         self.buf, self.cut_at, self.held, self.born, self.deaf, self.mute = [], 0, [], boot_ms(), False, False
+        self.heard_at = self.born
 
     def hello(self):
         # who dials shows the token, an agent in its own `auth`; who is dialled shows it to nobody
@@ -42,6 +43,7 @@
     def read(self, data):
         if self.deaf:
             return self.held.append(data)
+        self.heard_at = boot_ms()
         try:
             recs = self.cutter.feed(data)
         except Alien as e:
