Believe a leader that names itself no more, so that edges cut off with it say so

Cause: a leader that hears no majority takes itself out of the roll it tells, but who heard the roll kept the last name it knew; a stepped-down leader even took its own name back from such a peer. The edges of a zone that was cut off with the leader thus called themselves ready for all twenty seconds and answered each client of the zone 503 no_holder, while the other zones' edges could have served them. Ruled out: connections kept open by clients (they are shared out anew), the pace of readiness (it never turned). Now a leader's own silence about a group takes its term back, and hearsay about that term is not believed; no node believes a peer about itself.

--- a/asterwharf/ring/meet.py
+++ b/asterwharf/ring/meet.py
@@ -11,7 +11,7 @@
 class Meet(Controller):
     """Dials seeds and known core nodes, tells the roll, founds the groups when all core nodes are empty."""
 
-    __slots__ = ('dialed', 'doors', 'empties', 'gave', 'members', 'new', 'seen', 'told')
+    __slots__ = ('dialed', 'doors', 'empties', 'ended', 'gave', 'members', 'new', 'seen', 'told')
     hears = ('roll',)
 
     def __init__(self, b, members=()):
@@ -26,6 +26,8 @@
         )
         # when whole rolls were given last; whether rows have changed since
         self.gave, self.new = -1 << 40, True
+        # group -> the last term whose leader said itself that it leads no more
+        self.ended = {}
         b.nodes[b.me] = b.row()
 
     @property
@@ -136,13 +138,7 @@
         for r in d['node']:
             if r['name'] == src or r['name'] not in b.links:
                 self._learn(r, d['met'])
-        for g, (nam, view) in (d['holders'] or {}).items():
-            # what a seat here knows of its own group is never older than hearsay
-            if g in b.cells and b.cells[g].member.replica.view > view:
-                continue
-            old = b.holders.get(g)
-            if old is None or view > old[1] or (view == old[1] and nam != old[0] and nam == src):
-                b.holders[g] = (nam, view)
+        self._learn_leaders(src, d['holders'] or {})
         if b.links.get(src, {}).get('role') != 'trellis':
             return
         self.empties.pop(src, None)
@@ -152,6 +148,27 @@
             self.empties[src] = {'inc': d['inc'], 'known': d['known'], 'founder': d['founder'] or old}
         self._found()
 
+    def _learn_leaders(self, peer, told):
+        """Takes what `peer` tells of the groups' leaders, {group: (name, term)}: the newest term counts.
+
+        A leader that names itself no more has stepped down, and hearsay about that term is believed no longer:
+        otherwise who is cut off with it would go on sending callers to a leader that can do nothing for them.
+        """
+        b = self.b
+        for g, (nam, view) in list(b.holders.items()):
+            if nam == peer and g not in told:
+                self.ended[g] = view
+                del b.holders[g]
+        for g, (nam, view) in told.items():
+            # what a seat here knows of its own group, or of itself, is never older than hearsay
+            if nam == b.me or (g in b.cells and b.cells[g].member.replica.view > view):
+                continue
+            old = b.holders.get(g)
+            if nam != peer and view <= self.ended.get(g, -1):
+                continue
+            if old is None or view > old[1] or (view == old[1] and nam != old[0] and nam == peer):
+                b.holders[g] = (nam, view)
+
     def _others(self):
         """The empty core nodes that may found with this one: of given founders only those."""
         b = self.b
