--- a/asterwharf/ring/meet.py
+++ b/asterwharf/ring/meet.py
@@ -160,7 +160,7 @@
                 self.ended[g] = view
                 del b.holders[g]
         for g, (nam, view) in told.items():
-            # what a seat here knows of its own group, or of itself, is never older than hearsay
+            # what a replica here knows of its own group, and a node of itself, is never older than hearsay
             if nam == b.me or (g in b.cells and b.cells[g].member.replica.view > view):
                 continue
             old = b.holders.get(g)
