--- a/tests/model_mutants.py
+++ b/tests/model_mutants.py
@@ -56,7 +56,14 @@
         # pre-votes of the third for both, before either enters the view
         ask += [('deliver', (name, 'n2')), ('deliver', ('n2', name))]
     first = [('sync', 'n0'), ('deliver', ('n0', 'n2')), ('deliver', ('n2', 'n0'))]
-    second = [('crash', 'n2'), ('timeout', 'n2'), ('sync', 'n1'), ('deliver', ('n1', 'n2')), ('sync', 'n2'), ('deliver', ('n2', 'n1'))]
+    second = [
+        ('crash', 'n2'),
+        ('timeout', 'n2'),
+        ('sync', 'n1'),
+        ('deliver', ('n1', 'n2')),
+        ('sync', 'n2'),
+        ('deliver', ('n2', 'n1')),
+    ]
     try:
         perform(world, ask + first + second)
     except AssertionError as e:
