--- a/asterwharf/fleet/operators.py
+++ b/asterwharf/fleet/operators.py
@@ -48,7 +48,7 @@
                 if sts2 == 200:
                     return self.note('config_told', base, got['sequence'], doc, by)
                 if sts2 == 412:
-                    self.note('config_refused', doc, base)
+                    self.note('config_refused', doc, base, by)
                 again(self.c.rng.randint(50, 500))
 
             heads = [('If-Match', str(base)), ('X-Operator', by), *self.c.heads]
--- a/asterwharf/scheduler/clerk.py
+++ b/asterwharf/scheduler/clerk.py
@@ -114,8 +114,8 @@
         self.b.chore(config.checking(raw), done)
 
     def do_config_put(self, a, give, cell):
-        # in a field of its own: a queues document of the same content is another order
-        request = {'config': a['config']}
+        # in a field of its own: a queues document of the same content is another order, and so is another operator's
+        request = {'config': a['config'], 'by': a.get('by', '')}
         text = queues.text(request)
         if text.is_error():
             return give(text.error.code, {'details': text.error.more})
--- a/asterwharf/sim/actors.py
+++ b/asterwharf/sim/actors.py
@@ -107,7 +107,7 @@
                 if code2 == 'ok':
                     return self.obs.config_told(base, b2['sequence'], doc, by)
                 if code2 == 'stale':
-                    self.obs.config_refused(doc, base)
+                    self.obs.config_refused(doc, base, by)
                 # unsure: it may have been taken; reading it again tells
                 self.w.after(300, self.configure, change, by, tries - 1)
 
--- a/asterwharf/sim/observer.py
+++ b/asterwharf/sim/observer.py
@@ -278,8 +278,8 @@
             if not v.get('emptied'):
                 self.emptied.pop(z, None)
 
-    def config_refused(self, doc, base):
-        self.register.refused(self.now(), doc, base)
+    def config_refused(self, doc, base, by=''):
+        self.register.refused(self.now(), doc, base, by)
         # certainly not taken: what was in force before still is
         if self.acks:
             for z, v in max(self.acks, key=lambda a: a[1])[2].get('zones', {}).items():
@@ -287,7 +287,7 @@
                     self.emptied.setdefault(z, self.now())
 
     def config_told(self, base, seq, doc, by):
-        self.register.acknowledged(self.now(), doc, base)
+        self.register.acknowledged(self.now(), doc, base, by)
         for b, s, _, w, _ in self.acks:
             if b == base:
                 self.no('two rival changes both acknowledged', base=base, by=(w, by))
--- a/asterwharf/sim/register_history.py
+++ b/asterwharf/sim/register_history.py
@@ -14,22 +14,23 @@
     def asked(self, at, document, base, client=''):
         """An operator sends an order at `at` (ms)."""
         digest = content_digest(document)
-        call = self.history.invoke('replace', at, base, base + 1, digest, client=client)
-        self._waiting.setdefault((base, digest), []).append(call)
+        # the own interface names the operator: the same content by another one is a rival
+        call = self.history.invoke('replace', at, base, base + 1, digest, f'{client}:{digest}', client=client)
+        self._waiting.setdefault((base, digest, client), []).append(call)
 
-    def _answer(self, at, document, base, result):
-        waiting = self._waiting.get((base, content_digest(document)))
+    def _answer(self, at, document, base, client, result):
+        waiting = self._waiting.get((base, content_digest(document), client))
         if waiting:
             # which of equal orders is told so makes no difference: they are one order
             self.history.returned(waiting.pop(0), result, at)
 
-    def acknowledged(self, at, document, base):
+    def acknowledged(self, at, document, base, client=''):
         """An order was acknowledged."""
-        self._answer(at, document, base, Result.OK)
+        self._answer(at, document, base, client, Result.OK)
 
-    def refused(self, at, document, base):
+    def refused(self, at, document, base, client=''):
         """An order was refused, for it builds on another version."""
-        self._answer(at, document, base, Result.STALE)
+        self._answer(at, document, base, client, Result.STALE)
 
     def read(self, since, at, number, document):
         """A read that was asked for at `since` was answered at `at`."""
--- a/tests/test_accepted_orders.py
+++ b/tests/test_accepted_orders.py
@@ -362,7 +362,8 @@
         f.w.start(n)
     assert insist(f, 'config_put', base=base, config=first) == ('ok', {'sequence': base + 1})
     assert insist(f, 'config_get')[1]['config'] == second
-    # on another base it is another order
+    # by another operator it is a rival, on another base it is another order
+    assert ask(f, 'config_put', base=base, config=first, by='another')[0] == 'stale'
     assert ask(f, 'config_put', base=base + 2, config=first) == ('ok', {'sequence': base + 3})
 
 
