Move the configuration state machine into a package of its own

scheduler/core.py, accepted.py and order_digest.py become scheduler/configuration/state_machine.py, accepted_orders.py and order_digest.py; class Core becomes ConfigurationStateMachine.

--- a/asterwharf/scheduler/clerk.py
+++ b/asterwharf/scheduler/clerk.py
@@ -6,8 +6,9 @@
 from expression import Ok
 
 from asterwharf.base.board import Controller
-from asterwharf.scheduler import config, jobs, order_digest, queues, show
-from asterwharf.scheduler.accepted import SINGLE_ROWS_PROTOCOL
+from asterwharf.scheduler import config, jobs, queues, show
+from asterwharf.scheduler.configuration import order_digest
+from asterwharf.scheduler.configuration.accepted_orders import SINGLE_ROWS_PROTOCOL
 from asterwharf.scheduler.emptier import zones
 from asterwharf.scheduler.model import FINAL
 from asterwharf.wire.schema import unpack
--- a/asterwharf/scheduler/core.py
+++ b/asterwharf/scheduler/configuration/state_machine.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 
 from asterwharf.scheduler import queues
-from asterwharf.scheduler.accepted import AcceptedOrders
 from asterwharf.scheduler.atlas import Atlas
+from asterwharf.scheduler.configuration.accepted_orders import AcceptedOrders
 from asterwharf.wire.schema import PROTO, pack, unpack
 
 # the first sequence of the configuration's record: every release reads it, and the row needs no more
@@ -24,7 +24,7 @@
     stale: bool = False
 
 
-class Core:
+class ConfigurationStateMachine:
     """One whole document replaces the last; of rivals on one base, one wins."""
 
     __slots__ = ('accepted', 'atlas', 'conf', 'dirty', 'floor', 'reads')
--- a/asterwharf/trellis/node.py
+++ b/asterwharf/trellis/node.py
@@ -7,7 +7,7 @@
 from asterwharf.ring.watch import Watch
 from asterwharf.scheduler.atlas import COMMONS, Atlas
 from asterwharf.scheduler.clerk import Clerk
-from asterwharf.scheduler.core import Core
+from asterwharf.scheduler.configuration.state_machine import ConfigurationStateMachine
 from asterwharf.scheduler.garden import Garden, Part, Warden
 from asterwharf.scheduler.news import Asker, Crier
 from asterwharf.scheduler.request_router import RequestRouter
@@ -18,7 +18,7 @@
     """`load(grp)` gives what the group had synced; the group members come first, so that they see time first."""
     b = Board(st, 'trellis', inc, rng, now, wall)
     b.atlas, b.load, b.proto = Atlas(), load, proto
-    core = GroupMember(b, 'core', Core(), load('core'))
+    core = GroupMember(b, 'core', ConfigurationStateMachine(), load('core'))
     com = b.cells[COMMONS] = Part(b, COMMONS)
     return Node(
         b,
--- a/tests/breaks.py
+++ b/tests/breaks.py
@@ -5,7 +5,8 @@
 
 from asterwharf.consensus import leader, member, replica
 from asterwharf.link import agent, keeper
-from asterwharf.scheduler import cell, core, model, placer, steward
+from asterwharf.scheduler import cell, model, placer, steward
+from asterwharf.scheduler.configuration import state_machine
 
 BREAKS = {}
 
@@ -181,9 +182,9 @@
     def put(self, op, d):
         self.conf = dict(d, sequence=self.sequence + 1)
         self.dirty.add('conf')
-        return core.OrderResult(self.sequence, accepted=True)
+        return state_machine.OrderResult(self.sequence, accepted=True)
 
-    mp.setattr(core.Core, 'c_config', put)
+    mp.setattr(state_machine.ConfigurationStateMachine, 'c_config', put)
 
 
 @breaks('kept job reported as unknown', 'core_wiped', 2)
--- a/tests/test_accepted_orders.py
+++ b/tests/test_accepted_orders.py
@@ -7,9 +7,10 @@
 from test_queues_fleet import ask, fleet, insist, put, send
 
 from asterwharf.base.settings import View
-from asterwharf.scheduler import order_digest, queues
-from asterwharf.scheduler.accepted import LEGACY_KEPT, LEGACY_ROW, ORDERS_KEPT, AcceptedOrders
-from asterwharf.scheduler.core import Core
+from asterwharf.scheduler import queues
+from asterwharf.scheduler.configuration import order_digest
+from asterwharf.scheduler.configuration.accepted_orders import LEGACY_KEPT, LEGACY_ROW, ORDERS_KEPT, AcceptedOrders
+from asterwharf.scheduler.configuration.state_machine import ConfigurationStateMachine
 from asterwharf.wire.schema import PROTO, Alien, pack, unpack
 
 # the last protocol that knows nothing of rows for single orders
@@ -34,7 +35,7 @@
 
 
 def core_with(last, floor=PROTO):
-    core = Core()
+    core = ConfigurationStateMachine()
     core.floor = floor
     for n in range(1, last + 1):
         assert accept(core, n, n, n - 1).accepted
@@ -44,7 +45,7 @@
 # --- the memory alone
 def test_a_day_of_a_thousand_changes_is_remembered_through_its_rows():
     core = core_with(1000)
-    restarted = Core()
+    restarted = ConfigurationStateMachine()
     restarted.load(core.delta())
     for c in (core, restarted):
         for n in (1, 2, 500, 1000):
@@ -98,12 +99,12 @@
 # --- releases
 def test_the_row_of_an_earlier_release_is_read_and_replaced_by_single_rows():
     old = {LEGACY_ROW: pack('r_taken', {'rows': [{'sum': f's{n}', 'number': n} for n in range(5, 1, -1)]})}
-    core = Core()
+    core = ConfigurationStateMachine()
     core.load(old)
     assert accept(core, 10, 3, 1).number == 3
     rows = core.delta()
     assert rows[LEGACY_ROW] is None and {k for k in rows if k != LEGACY_ROW} == {f'order:s{n}' for n in (2, 3, 4, 5)}
-    again = Core()
+    again = ConfigurationStateMachine()
     again.load({k: v for k, v in rows.items() if v is not None})
     # the order in which they were accepted is kept too
     assert list(again.accepted.digests()) == ['s5', 's4', 's3', 's2']
--- a/tests/test_history_checker_fleet.py
+++ b/tests/test_history_checker_fleet.py
@@ -6,7 +6,7 @@
 
 from asterwharf.base.settings import View
 from asterwharf.scheduler import queues
-from asterwharf.scheduler.core import Core, OrderResult
+from asterwharf.scheduler.configuration.state_machine import ConfigurationStateMachine, OrderResult
 from asterwharf.scheduler.ferry import Ferry
 from asterwharf.sim.history_checker import History, Outcome, check, content_digest
 
@@ -172,17 +172,17 @@
         self._put(op, 'queues', queues.row(d))
         return OrderResult(d['number'], accepted=True)
 
-    monkeypatch.setattr(Core, 'c_queues', put)
+    monkeypatch.setattr(ConfigurationStateMachine, 'c_queues', put)
 
 
 def row_not_written(monkeypatch):
     """An acknowledged change isn't in the rows that a restart begins with."""
-    old = Core.delta
+    old = ConfigurationStateMachine.delta
 
     def delta(self):
         return {k: v for k, v in old(self).items() if k != 'queues'}
 
-    monkeypatch.setattr(Core, 'delta', delta)
+    monkeypatch.setattr(ConfigurationStateMachine, 'delta', delta)
 
 
 def read_from_a_copy(monkeypatch):
@@ -200,7 +200,9 @@
 
 def nothing_remembered(monkeypatch):
     """A repeated order is judged as if it were new."""
-    monkeypatch.setattr('asterwharf.scheduler.accepted.AcceptedOrders.number', lambda self, digest: None)
+    monkeypatch.setattr(
+        'asterwharf.scheduler.configuration.accepted_orders.AcceptedOrders.number', lambda self, digest: None
+    )
 
 
 STORIES = [
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -10,9 +10,9 @@
 from asterwharf.door.app import Request
 from asterwharf.door.routes import match
 from asterwharf.scheduler import queues
-from asterwharf.scheduler.accepted import ORDERS_KEPT
 from asterwharf.scheduler.atlas import Atlas
-from asterwharf.scheduler.core import Core, OrderResult
+from asterwharf.scheduler.configuration.accepted_orders import ORDERS_KEPT
+from asterwharf.scheduler.configuration.state_machine import ConfigurationStateMachine, OrderResult
 from asterwharf.wire import kinds  # noqa: F401
 from asterwharf.wire.schema import pack
 
@@ -165,14 +165,14 @@
 
 
 def test_the_rows_hold_all_of_it():
-    c, kept = Core(), ORDERS_KEPT
+    c, kept = ConfigurationStateMachine(), ORDERS_KEPT
     for i in range(1, kept + 11):
         assert order(c, i, i * 2, i * 2 - 2).accepted
     top = kept * 2 + 20
     assert order(c, kept + 20, top + 2, top - 2).stale and order(c, kept + 21, top, top, 'other') == OrderResult(top)
     c.apply(kept + 22, pack('c_zone', {'zone': 'z1', 'emptied': True, 'at': 7}))
     c.apply(kept + 23, pack('c_zone', {'zone': 'z2', 'emptied': False, 'at': 8}))
-    rows, two = c.delta(), Core()
+    rows, two = c.delta(), ConfigurationStateMachine()
     two.load({k: v for k, v in rows.items() if v is not None})
     assert set(rows) == {'queues', 'empty:z1'} | {f'order:s{i * 2}' for i in range(1, kept + 11)} and not c.delta()
     for x in (c, two):
