Split the clerk into request handlers by job

The text of each method is as it was. `scheduler/handlers/` holds the shared answer, confirmation and order (base), jobs, the configuration, the cluster; `scheduler/request_handlers.py` puts them together as RequestHandlers.

--- a/asterwharf/orchard/gate.py
+++ b/asterwharf/orchard/gate.py
@@ -4,7 +4,8 @@
 import json
 
 from asterwharf.orchard.views import Views
-from asterwharf.scheduler.clerk import NOBODY, Clerk
+from asterwharf.scheduler.handlers.base import NOBODY
+from asterwharf.scheduler.request_handlers import RequestHandlers
 
 # of the time that an ended job is answered for: how long it is remembered
 KEEP = 2.0
@@ -25,7 +26,7 @@
 }
 
 
-class Gate(Views, Clerk):
+class Gate(Views, RequestHandlers):
     """Looks a request up, judges it, orders the change, answers when it is delivered."""
 
     __slots__ = ('swept',)
--- a/asterwharf/scheduler/cell.py
+++ b/asterwharf/scheduler/cell.py
@@ -92,7 +92,7 @@
         self.use[t.job.tenant] = round(self.use.get(t.job.tenant, 0) + c, 6)
 
     def t_submit(self, d):
-        # the tenant may have been released between the clerk's look and this delivery
+        # the tenant may have been released between the leader's look and this delivery
         if self.away(d['tenant']):
             return 'moving'
         key = f'{d["tenant"]}/{d["id"]}'
--- /dev/null
+++ b/asterwharf/scheduler/handlers/__init__.py
@@ -0,0 +1,1 @@
+"""What a leader does for each request that reaches it, by job. Pure."""
--- a/asterwharf/trellis/node.py
+++ b/asterwharf/trellis/node.py
@@ -6,10 +6,10 @@
 from asterwharf.ring.meet import Meet
 from asterwharf.ring.watch import Watch
 from asterwharf.scheduler.atlas import COMMONS, Atlas
-from asterwharf.scheduler.clerk import Clerk
 from asterwharf.scheduler.configuration.state_machine import ConfigurationStateMachine
 from asterwharf.scheduler.garden import Garden, Part, Warden
 from asterwharf.scheduler.news import Asker, Crier
+from asterwharf.scheduler.request_handlers import RequestHandlers
 from asterwharf.scheduler.request_router import RequestRouter
 from asterwharf.wire.schema import PROTO
 
@@ -32,7 +32,7 @@
             Warden(b, core),
             Garden(b),
             Mender(b),
-            Clerk(b, core),
+            RequestHandlers(b, core),
             RequestRouter(b),
         ],
     )
--- a/tests/breaks.py
+++ b/tests/breaks.py
@@ -323,10 +323,10 @@
         return old(self, d)
 
     mp.setattr(cell.Cell, 't_submit', submit)
-    from asterwharf.scheduler import clerk
+    from asterwharf.scheduler import request_handlers
 
-    mp.setattr(clerk.Clerk, '_refusal', lambda s, a, dig, c: None)
-    was = clerk.Clerk.do_submit
+    mp.setattr(request_handlers.RequestHandlers, '_refusal', lambda s, a, dig, c: None)
+    was = request_handlers.RequestHandlers.do_submit
 
     def do(self, a, give, c):
         got = c.mac.jobs.pop(f'{a["tenant"]}/{a["id"]}', None)
@@ -334,7 +334,7 @@
         if got is not None:
             c.mac.jobs[got.key] = got
 
-    mp.setattr(clerk.Clerk, 'do_submit', do)
+    mp.setattr(request_handlers.RequestHandlers, 'do_submit', do)
 
 
 @breaks('5000 ms after the last fault', 'oergadwyn_day', 1)
@@ -369,13 +369,13 @@
 @breaks('an acknowledged configuration was lost', 'config_race', 1)
 def acknowledged_before_it_is_kept(mp):
     """A holder acknowledges a configuration that it has not ordered."""
-    from asterwharf.scheduler import clerk
+    from asterwharf.scheduler import request_handlers
 
-    old = clerk.Clerk._put
+    old = request_handlers.RequestHandlers._put
 
     def put(self, a, mark, give):
         if self.b.rng.random() < 0.3:
             return give('ok', {'sequence': a['base'] + 1})
         old(self, a, mark, give)
 
-    mp.setattr(clerk.Clerk, '_put', put)
+    mp.setattr(request_handlers.RequestHandlers, '_put', put)
--- a/tests/test_history_checker_fleet.py
+++ b/tests/test_history_checker_fleet.py
@@ -7,7 +7,7 @@
 from asterwharf.base.settings import View
 from asterwharf.scheduler import queues
 from asterwharf.scheduler.configuration.state_machine import ConfigurationStateMachine, OrderResult
-from asterwharf.scheduler.ferry import Ferry
+from asterwharf.scheduler.request_router import RequestRouter
 from asterwharf.sim.history_checker import History, Outcome, check, content_digest
 
 CLEAR = {'ok': 'ok', 'stale': 'stale', 'bad_config': 'invalid'}
@@ -56,7 +56,7 @@
 
         def act():
             host.node.b.now, host.node.b.wall = self.f.w.clocks(host)
-            host.node.find(Ferry).start(op, 'core', args, then)
+            host.node.find(RequestRouter).start(op, 'core', args, then)
 
         self.f.w._do(host, act)
 
@@ -187,7 +187,7 @@
 
 def read_from_a_copy(monkeypatch):
     """A node answers reads from its own copy, unconfirmed."""
-    old = Ferry.start
+    old = RequestRouter.start
 
     def start(self, op, grp, args, then, ttl=0):
         if op != 'queues_get':
@@ -195,7 +195,7 @@
         here = self.b.atlas.queues
         return then('ok', {'number': here.number, 'doc': here.doc})
 
-    monkeypatch.setattr(Ferry, 'start', start)
+    monkeypatch.setattr(RequestRouter, 'start', start)
 
 
 def nothing_remembered(monkeypatch):
--- a/tests/test_request_breaks.py
+++ b/tests/test_request_breaks.py
@@ -6,14 +6,15 @@
 from yard_cell import QUEUES, Cell
 
 from asterwharf.orchard.tender import Tender
-from asterwharf.scheduler import clerk, request_router
+from asterwharf.scheduler import request_router
+from asterwharf.scheduler.handlers.base import Response
 from asterwharf.scheduler.operations import Operation, Repeat
 from asterwharf.scheduler.peer_clocks import PeerClocks
 
 
 def fence_gone(mp):
     """The leader carries out whatever comes, however late."""
-    mp.setattr(clerk.Response, 'late', False)
+    mp.setattr(Response, 'late', False)
 
 
 def clock_taken_for_ours(mp):
--- a/tests/test_unconfirmed.py
+++ b/tests/test_unconfirmed.py
@@ -2,7 +2,7 @@
 
 import copy
 
-from asterwharf.scheduler.clerk import Clerk
+from asterwharf.scheduler.request_handlers import RequestHandlers
 from asterwharf.sim.fleet import DOC, Fleet
 
 
@@ -17,7 +17,7 @@
     node = f.node(leader)
     f.w._do(
         f.w.hosts[leader],
-        lambda: node.find(Clerk).do_config_put(
+        lambda: node.find(RequestHandlers).do_config_put(
             {'config': doc, 'base': 1}, lambda code, body=None: got.append(code), f.member(leader, 'core')
         ),
     )
@@ -33,7 +33,7 @@
     got, node = [], f.node(leader)
     f.w._do(
         f.w.hosts[leader],
-        lambda: node.find(Clerk).do_config_put(
+        lambda: node.find(RequestHandlers).do_config_put(
             {'config': doc, 'base': 1}, lambda code, body=None: got.append((code, body)), f.member(leader, 'core')
         ),
     )
