Count no heartbeat of an earlier view for a read or a lease

A reply to an append of an older view names the replica's own view, but the older append's heartbeat: a leader of the newer view, whose heartbeats begin at 1 again, took it for an answer to one it had not sent, and every read after it was confirmed without an answer. The reply now carries heartbeat 0, and a leader takes no heartbeat from a refusal, so replies of older releases do no harm either.

--- a/asterwharf/consensus/leader.py
+++ b/asterwharf/consensus/leader.py
@@ -161,7 +161,9 @@
         progress.heard_at, progress.slow = replica.now, message['slow']
         self._note_leaving(progress, message)
         progress.clock_offset = message['wall'] - replica.now
-        progress.heartbeat = max(progress.heartbeat, message['beat'])
+        if message['ok']:
+            # a refusal may be of an append of an earlier view, whose heartbeats had the same numbers
+            progress.heartbeat = max(progress.heartbeat, message['beat'])
         if not message['ok']:
             # an empty replica is brought up by a snapshot, which its join request asks for
             if message['op'] >= 0 and progress.snapshot is None:
--- a/asterwharf/consensus/replication.py
+++ b/asterwharf/consensus/replication.py
@@ -54,7 +54,8 @@
         body = {
             'grp': self.group,
             'view': self.view,
-            'beat': message['beat'],
+            # the view named here is our own: an append of an older view is no heartbeat of it
+            'beat': message['beat'] if message['view'] == self.view else 0,
             'ok': ok,
             'op': index,
             'inc': self.incarnation,
