Tell a replica that asks for a view that is over which view stands

The refusal named only the view that was asked for. Now a vote reply with the newer view goes out beside it, which every release enters. It raises nobody above a view that exists. The test fails without it.

--- a/asterwharf/consensus/election.py
+++ b/asterwharf/consensus/election.py
@@ -52,6 +52,9 @@
 
     def on_pre_vote(self, source, message):
         """Answers whether a vote would be granted; changes nothing here."""
+        if message['view'] <= self.view:
+            # a replica with the newest log must learn of the newer view, or it would ask for the older one for ever
+            self._reply_vote(source, False)
         ready = not self._lease_may_stand() and self.state != State.LEADER and not self.empty
         granted = ready and message['view'] > self.view and self._is_up_to_date(message)
         self.outbox.send(
--- a/tests/test_model_regressions.py
+++ b/tests/test_model_regressions.py
@@ -53,3 +53,14 @@
     assert kind == 'append_reply' and not body['ok']
     # `view` is the replica's own: in it nobody sent a heartbeat 17
     assert body['view'] == 5 and body['beat'] == 0
+
+
+def test_a_pre_vote_in_a_view_that_is_over_hears_of_the_newer_one():
+    one = One()
+    one.append('b', 7, 1)
+    one.now += 5000
+    one.replica.tick(one.now, one.now, [])
+    one.settle()
+    # the candidate's log is newer, but it is still in view 6: without this answer it would ask for 7 for ever
+    said = one.hear('c', 'pre_vote', view=7, op=9, stamp=7)
+    assert any(body.get('view', 0) >= 7 and not body['ok'] and kind == 'vote_reply' for _, kind, body in said)
