--- a/tests/test_model_regressions.py
+++ b/tests/test_model_regressions.py
@@ -64,3 +64,15 @@
     # the candidate's log is newer, but it is still in view 6: without this answer it would ask for 7 for ever
     said = one.hear('c', 'pre_vote', view=7, op=9, stamp=7)
     assert any(body.get('view', 0) >= 7 and not body['ok'] and kind == 'vote_reply' for _, kind, body in said)
+
+
+def test_a_snapshot_keeps_the_acknowledged_entries_after_it():
+    one = One()
+    replies = one.append('b', 1, 10, commit=2)
+    assert replies[-1][2]['ok'] and replies[-1][2]['op'] == 10
+    rows = [{'k': 'state', 'v': b'\xff\xff\xff\xff[6, "x", 6]'}]
+    one.hear('b', 'install_snapshot', view=1, op=6, stamp=1, seats=MEMBERS, part=0, last=True, rows=rows)
+    # it said that it has them: they stay in its log and on its disk
+    assert one.replica.last == 10 and one.replica.commit == 6
+    for index in range(7, 11):
+        assert adapter.on_disk(one.disk, index, one.replica.raw(index))
