--- a/tests/model_mutants.py
+++ b/tests/model_mutants.py
@@ -169,10 +169,15 @@
         old = getattr(Replica, name)
 
         def vote(self, source, message, old=old):
-            was = self.state
+            was, empty = self.state, Replica.empty
             if was == State.LEARNER:
                 self.state = State.FOLLOWER
-            old(self, source, message)
+            # a replica without a log votes as well
+            Replica.empty = property(lambda self: False)
+            try:
+                old(self, source, message)
+            finally:
+                Replica.empty = empty
             if was == State.LEARNER and self.state == State.FOLLOWER:
                 self.state = was
 
