--- a/asterwharf/sim/__main__.py
+++ b/asterwharf/sim/__main__.py
@@ -7,7 +7,7 @@
 
 from cyclopts import App
 
-from asterwharf.sim import days, scenarios  # noqa: F401  cells registers its own
+from asterwharf.sim import days, scenario_run, scenarios  # noqa: F401  cells registers its own
 
 # of each scenario, how far its runs went: the columns of docs/proof.md
 EACH = ('runs', 'failed', 'strictly', 'kept', 'starts', 'done', 'cut_short', 'resumed', 'lost', 'twice', 'redone')
@@ -19,7 +19,7 @@
 def run(name: str, *, seed: int = 1, trace: bool = False, seconds: int = 60):
     """Replays one scenario from one seed; a trace where it fails or is asked for."""
     days.SECONDS['day'] = seconds
-    r = scenarios.run(name, seed)
+    r = scenario_run.run(name, seed)
     print(r.text())
     if trace:
         print(r.fleet.trace(4000))
@@ -28,7 +28,7 @@
 
 def _one(job):
     try:
-        r = scenarios.run(*job)
+        r = scenario_run.run(*job)
         return job, r.why, r.fleet.obs.count, sorted({x for _, x, _ in r.fleet.obs.strict})
     except Exception as e:
         return job, [f'{type(e).__name__}: {e}'], {}, []
@@ -38,7 +38,7 @@
 def sweep(*names: str, seeds: int = 20, first: int = 1, workers: int = 8, seconds: int = 60):
     """Runs scenarios (all without names) over many seeds and lists what failed; days last `seconds`."""
     days.SECONDS['day'] = seconds
-    jobs = [(n, s) for s in range(first, first + seeds) for n in names or scenarios.ALL]
+    jobs = [(n, s) for s in range(first, first + seeds) for n in names or scenario_run.ALL]
     beg, bad, tot, words, each = time.time(), [], {}, {}, {}
     with multiprocessing.Pool(workers) as p:
         for job, why, cnt, strict in p.imap_unordered(_one, jobs):
@@ -62,7 +62,7 @@
 @app.command(name='list')
 def list_():
     """The scenarios."""
-    for n, (f, _) in scenarios.ALL.items():
+    for n, (f, _) in scenario_run.ALL.items():
         print(f'{n:16} {f.__doc__}')
 
 
--- a/asterwharf/sim/cells.py
+++ b/asterwharf/sim/cells.py
@@ -1,7 +1,7 @@
 """Scenarios of cells, releases and room: made, cut off, moved, rolled out, starved, pushed out, under traffic."""
 
 from asterwharf.sim.actors import job
-from asterwharf.sim.scenarios import bounce, often, scenario
+from asterwharf.sim.scenario_run import bounce, often, scenario
 from asterwharf.wire.schema import PROTO
 
 NORTH = {'tenants': ['basin'], 'zones': ['z1']}
--- a/asterwharf/sim/corners.py
+++ b/asterwharf/sim/corners.py
@@ -4,7 +4,7 @@
 
 from asterwharf.sim.actors import job
 from asterwharf.sim.fleet import VIEW
-from asterwharf.sim.scenarios import bounce, full, often, scenario, zoned
+from asterwharf.sim.scenario_run import bounce, full, often, scenario, zoned
 
 
 @scenario
--- a/asterwharf/sim/days.py
+++ b/asterwharf/sim/days.py
@@ -3,9 +3,9 @@
 Days are long outside CI (`--seconds`), short in it.
 """
 
-from asterwharf.sim import cells, corners, harm, operators, scenarios  # noqa: F401  they register what a day draws from
+from asterwharf.sim import cells, corners, harm, operators, scenario_run, scenarios  # noqa: F401  they register what a day draws from
 from asterwharf.sim.deploy import ALL as SITES
-from asterwharf.sim.scenarios import bounce, scenario, zoned
+from asterwharf.sim.scenario_run import bounce, scenario, zoned
 
 # after the last fault, or once a majority is back: until jobs are accepted, started, and a configuration in force
 RECOVER = 5000
@@ -134,7 +134,7 @@
     while t < span - 38000 or t == 3000:
         nam = r.choice(FAULTS)
         f.drawn.append(nam)
-        f.w.after(t, OWN.get(nam) or scenarios.ALL[nam][0], f)
+        f.w.after(t, OWN.get(nam) or scenario_run.ALL[nam][0], f)
         t += r.randint(9000, 18000)
     f.w.after(span - 16000, whole, f)
     f.w.after(span - 8000, _last, f, r.choice(LAST))
--- a/asterwharf/sim/harm.py
+++ b/asterwharf/sim/harm.py
@@ -4,7 +4,7 @@
 and that nothing else breaks.
 """
 
-from asterwharf.sim.scenarios import LONG, often, scenario
+from asterwharf.sim.scenario_run import LONG, often, scenario
 
 # long tasks, so that the old round is still there when its agent wakes
 LONGER = (1500, 6000, 12000)
--- a/asterwharf/sim/operators.py
+++ b/asterwharf/sim/operators.py
@@ -1,6 +1,6 @@
 """Scenarios of what operators do, and of what they have to live through."""
 
-from asterwharf.sim.scenarios import bounce, often, scenario, zoned
+from asterwharf.sim.scenario_run import bounce, often, scenario, zoned
 
 
 @scenario(calm=True, span=20000)
--- a/asterwharf/sim/yard_observer.py
+++ b/asterwharf/sim/yard_observer.py
@@ -5,13 +5,28 @@
 
 from collections import Counter
 
+from asterwharf.sim.client_account import Told
 from asterwharf.sim.yard_config import Versions
 from asterwharf.sim.yard_room import Room
 from asterwharf.sim.yard_sight import IN
 from asterwharf.sim.yard_work import parse
 
-RULES = ('TWICE', 'ORDER', 'LIMIT', 'ROUTE', 'BUDGET', 'GANG', 'UNASKED', 'REFUSED', 'DRAIN', 'EVAC', 'MIXED', 'LOST', 'CONFIG',
-         'RECOVER')
+RULES = (
+    'TWICE',
+    'ORDER',
+    'LIMIT',
+    'ROUTE',
+    'BUDGET',
+    'GANG',
+    'UNASKED',
+    'REFUSED',
+    'DRAIN',
+    'EVAC',
+    'MIXED',
+    'LOST',
+    'CONFIG',
+    'RECOVER',
+)
 STATES = ('queued', 'running', 'finished', 'failed', 'cancelled')
 # looking goes on in steps of this; nothing is called late by less
 STEP = 250
@@ -22,21 +37,6 @@
 GOING = HARMLESS + ('scale_in', 'evacuate')
 
 
-class Told:
-    """What the clients of one job were told."""
-
-    __slots__ = ('accepted', 'asked', 'cancel', 'cancelled', 'done_at', 'final', 'final_at', 'first', 'held', 'job', 'last', 'live', 'lone',
-                 'open', 'starts', 'stuck', 'tries', 'unclear')
-
-    def __init__(self, job, now):
-        self.job, self.first, self.last, self.accepted, self.final, self.final_at = job, now, now, None, '', None
-        # hand-ins under way, hand-ins answered by silence, hand-ins in all
-        self.open, self.unclear, self.tries = 0, 0, 0
-        self.cancel, self.cancelled, self.asked, self.stuck, self.done_at = None, None, 0, None, {}
-        # runs there are, whether there ever was one, until when a minion that is gone may have held one, since when none is
-        self.live, self.starts, self.held, self.lone = 0, False, 0, None
-
-
 class Observer:
     """Fed by the stand-ins with everything that they do and hear."""
 
@@ -159,7 +159,9 @@
         self._budget(r)
         self.tap('started', r.sender)
         if m.id in self.drains and r.level == IN and now > self.drains[m.id] + self.bounds.drain_ms:
-            self.no('DRAIN', what='started on a draining minion', task=r.task, minion=m.id, late=now - self.drains[m.id])
+            self.no(
+                'DRAIN', what='started on a draining minion', task=r.task, minion=m.id, late=now - self.drains[m.id]
+            )
         at = self.zones.get(m.zone)
         if at is not None and r.level == IN and now > at + self.bounds.evacuate_ms:
             self.no('EVAC', what='started in an evacuated zone', task=r.task, zone=m.zone, late=now - at)
@@ -169,7 +171,9 @@
         copies = sp.get('copies')
         for o in runs:
             if o.end is None and o.minion.up and not copies:
-                self.no('TWICE', what='two runs at once', task=r.task, runs=(o.run, r.run), on=(o.minion.id, r.minion.id))
+                self.no(
+                    'TWICE', what='two runs at once', task=r.task, runs=(o.run, r.run), on=(o.minion.id, r.minion.id)
+                )
         if r.run in {o.run for o in runs if o.minion is not r.minion}:
             self.count['same_run_twice'] += 1
         gang = [o for t in r.job.tasks(r.k, r.step) for o in self.tasks.get(t, ())] if sp.get('together') else runs
@@ -229,7 +233,9 @@
         """Runs of a task, or of a gang, that ended failed."""
         gang = j.steps[s].get('together')
         names = j.tasks(k, s) if gang else [f'{j.id}.{k}.{s}.{idx}']
-        rows = [o for t in names for o in self.tasks.get(t, ()) if o.how == 'failed' and (before is None or o.end <= before)]
+        rows = [
+            o for t in names for o in self.tasks.get(t, ()) if o.how == 'failed' and (before is None or o.end <= before)
+        ]
         if noted:
             rows = [o for o in rows if o.noted is not None]
         return len({o.run for o in rows})
@@ -242,7 +248,9 @@
         if n < j.tries:
             return
         if sp.get('copies'):
-            last = sorted(o.noted for o in self.tasks[r.task] if o.how == 'failed' and o.noted is not None and o.end <= r.at)
+            last = sorted(
+                o.noted for o in self.tasks[r.task] if o.how == 'failed' and o.noted is not None and o.end <= r.at
+            )
             if r.level != IN or r.at <= last[j.tries - 1] + 1000:
                 return
         self.no('BUDGET', what='started after all its tries failed', task=r.task, run=r.run, fails=n)
@@ -339,8 +347,12 @@
 
     def failed(self, j):
         """Whether a task or gang of it has failed as often as it may."""
-        return any(self.fails(j, k, s, i) >= j.tries for k in range(j.rounds) for s in range(len(j.steps))
-                   for i in range(j.steps[s].get('count', 1)))
+        return any(
+            self.fails(j, k, s, i) >= j.tries
+            for k in range(j.rounds)
+            for s in range(len(j.steps))
+            for i in range(j.steps[s].get('count', 1))
+        )
 
     # --- operators
     def evacuated(self, zone, at):
--- a/asterwharf/sim/yard_operators.py
+++ b/asterwharf/sim/yard_operators.py
@@ -2,8 +2,8 @@
 
 import copy
 
+from asterwharf.sim.site_documents import document, idle_queue
 from asterwharf.sim.yard_calls import find
-from asterwharf.sim.yard_sites import document, idle_queue
 
 # an operator's patience with one call (more for large bodies), and its pause before the next node
 WAIT, PAUSE, PAUSES = 1000, 100, 4
--- a/bench/holds.py
+++ b/bench/holds.py
@@ -8,7 +8,7 @@
 
 from cyclopts import App
 
-from asterwharf.sim import days, scenarios  # noqa: F401
+from asterwharf.sim import days, scenario_run, scenarios  # noqa: F401
 
 app = App(help_format='plaintext')
 NAMES = ('agent_cut', 'core_cut_off', 'machine_frozen', 'answers_lost', 'core_cut')
@@ -16,7 +16,7 @@
 
 def _one(job):
     name, seed, holds = job
-    r = scenarios.run(name, seed, holds=holds)
+    r = scenario_run.run(name, seed, holds=holds)
     c = r.fleet.obs.count
     return name, holds, c['cut_short'], c['resumed'], c['starts'] - c['done'], len(r.why)
 
--- a/bench/hours.py
+++ b/bench/hours.py
@@ -7,7 +7,7 @@
 
 from cyclopts import App
 
-from asterwharf.sim import cells, scenarios  # noqa: F401
+from asterwharf.sim import cells, scenario_run, scenarios  # noqa: F401
 from asterwharf.sim.actors import job
 from asterwharf.sim.fleet import Fleet
 
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -9,7 +9,7 @@
 from cyclopts import App
 
 from asterwharf.consensus.member import leave
-from asterwharf.sim import cells, operators, scenarios  # noqa: F401
+from asterwharf.sim import cells, operators, scenario_run, scenarios  # noqa: F401
 from asterwharf.sim.fleet import Fleet
 
 app = App(help_format='plaintext')
@@ -29,7 +29,7 @@
         f = _ready(seed, core=3, edges=7, minions=24)
         was, beg = dict(f.w.count), {n: {g: c.replica.counters['syncs'] for g, c in _members(f, n)} for n in f.core}
         if load:
-            scenarios.load(f, 100, 18000)
+            scenario_run.load(f, 100, 18000)
         f.w.run(f.w.t + 20000)
         out[load] = {k: v - was.get(k, 0) for k, v in f.w.count.items()}
         out[load]['SYNCS'] = sum(c.replica.counters['syncs'] - beg[n][g] for n in f.core for g, c in _members(f, n))
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -5,9 +5,9 @@
 import sys
 
 CODE = """
-from asterwharf.sim import scenarios
+from asterwharf.sim import scenario_run, scenarios
 for n in ('mixed', 'core_wiped'):
-    f = scenarios.run(n, 3).fleet
+    f = scenario_run.run(n, 3).fleet
     print(n, f.w.n, sorted(f.obs.count.items()), sorted(f.w.count.items()), len(f.w.log))
 """
 
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -3,7 +3,7 @@
 import pytest
 
 from asterwharf.consensus.member import GroupMember
-from asterwharf.sim import days, scenarios  # noqa: F401
+from asterwharf.sim import days, scenario_run, scenarios  # noqa: F401
 from asterwharf.sim.fleet import Fleet
 from asterwharf.wire.schema import PROTO, Alien
 
@@ -12,7 +12,7 @@
     # the roll-out itself is a scenario; here the guard is taken away, and an old seat meets a new record
     monkeypatch.setattr(GroupMember, 'floor', property(lambda s: PROTO))
     with pytest.raises(Alien):
-        scenarios.run('rolled_out', 1)
+        scenario_run.run('rolled_out', 1)
 
 
 @pytest.mark.parametrize('proto', range(1, PROTO))
@@ -64,7 +64,7 @@
 )
 def test_an_older_core_node_edge_and_agent_stand_the_corner_cases_among_newer_ones(scen):
     olds = {'t1': PROTO - 1, 'e0': PROTO - 1, 'm0': PROTO - 1}
-    r = scenarios.run(scen, 5, olds=olds)
+    r = scenario_run.run(scen, 5, olds=olds)
     # the rules that came with this release wait until every seat knows them
     late = {'started again after it ended done'}
     assert not set(r.why) - late, r.text()
--- a/tests/yard_desk.py
+++ b/tests/yard_desk.py
@@ -1,10 +1,11 @@
 """For tests of the platform's stand-ins: a fleet without nodes, and histories told to the observer by hand."""
 
+from asterwharf.sim.site_model import Shape
 from asterwharf.sim.yard_calls import Net
 from asterwharf.sim.yard_fleet import YardFleet
 from asterwharf.sim.yard_minion import Minion
 from asterwharf.sim.yard_sight import Sight
-from asterwharf.sim.yard_sites import OPEN, Shape
+from asterwharf.sim.yard_sites import OPEN
 from asterwharf.sim.yard_work import Job, Run
 
 QUEUE = {'name': 'r-q', 'prefix': '/q/', 'group': 'watch', 'priority': 0, 'tries': 2, 'stretch': 2.0, 'aim_ms': 1000}
