--- a/bench/scale/__main__.py
+++ b/bench/scale/__main__.py
@@ -10,8 +10,9 @@
 
 from cyclopts import App
 
-from bench.scale.scale import Scale, write
+from bench.scale.scale import Scale
 from bench.scale.scale_procs import Size
+from bench.scale.scale_result import write
 
 app = App(name='bench.scale', help='The planned size on loopback. A tool for measuring.', help_format='plaintext')
 
