Name the commands asterwharf controller, edge, agent and asterctl

trellis, furrow serve, furrow tend and sickle said nothing of what they do. The new names run the same programs; the old ones stay for one release and say the new name on standard error (base/aliases.py). platform/start.py takes controller and edge beside trellis and furrow; deploy/system.toml is unchanged. deploy/trellis.toml is deploy/controller.toml.

--- a/asterwharf/base/codes.py
+++ b/asterwharf/base/codes.py
@@ -6,7 +6,7 @@
 
 
 class Code(Plot):
-    """One numbered code: HTTP status, exit status of `sickle`, words and remedy."""
+    """One numbered code: HTTP status, exit status of `asterctl`, words and remedy."""
 
     num = Field(int)
     nam = Field(str)
@@ -66,8 +66,8 @@
 )
 _c(303, 'stale', 412, 'The configuration has moved on.', 'Get the present one and redo the change.')
 _c(304, 'unknown_tenant', 404, 'No such tenant in the configuration in force.', 'Add it to the configuration.')
-_c(305, 'unknown_minion', 404, 'No such minion is known.', 'See `sickle minions`.')
-_c(306, 'unknown_zone', 404, 'No such zone in the configuration in force.', 'See `sickle config get`.')
+_c(305, 'unknown_minion', 404, 'No such minion is known.', 'See `asterctl minions`.')
+_c(306, 'unknown_zone', 404, 'No such zone in the configuration in force.', 'See `asterctl config get`.')
 _c(307, 'last_zone', 409, 'This would empty the last zone.', 'Restore another zone first.')
 _c(308, 'ended', 409, 'The job has ended; there is nothing to cancel.', 'Ask for its state.')
 _c(309, 'beyond_limits', 400, 'The shape is above what the configuration lets a task ask for.', 'Ask for less.')
@@ -76,11 +76,11 @@
     'no_history',
     404,
     'This sequence is not in the history.',
-    'See `sickle config log`; a core node needs a data folder to keep any.',
+    'See `asterctl config log`; a core node needs a data folder to keep any.',
 )
-_c(311, 'unknown_cell', 404, 'No such cell.', 'See `sickle cells`.')
+_c(311, 'unknown_cell', 404, 'No such cell.', 'See `asterctl cells`.')
 _c(312, 'in_sight', 409, 'The seat is in sight and keeps its place.', 'Stop that process first, if it is really to go.')
-_c(313, 'unknown_seat', 404, 'No such seat, or the newcomer has one already.', 'See `sickle seats`.')
+_c(313, 'unknown_seat', 404, 'No such seat, or the newcomer has one already.', 'See `asterctl seats`.')
 _c(
     314,
     'not_there',
@@ -88,13 +88,13 @@
     'The newcomer is not in sight of the holder.',
     'Start it with the seeds of the others, then ask again.',
 )
-_c(315, 'promised', 409, 'That seat was given to another newcomer.', 'See `sickle seats`.')
+_c(315, 'promised', 409, 'That seat was given to another newcomer.', 'See `asterctl seats`.')
 _c(
     316,
     'unknown_queue',
     404,
     'No queue of the document in force is at this host and path.',
-    'See `sickle queues list`.',
+    'See `asterctl queues list`.',
 )
 _c(400, 'overload', 503, 'The buffer is full.', 'Come again after Retry-After.')
 _c(401, 'no_holder', 503, 'No holder can confirm this now.', 'Come again after Retry-After.')
@@ -146,7 +146,7 @@
         'Made by `python -m asterwharf.base.codes > docs/codes.md`; a test keeps them equal.',
         '',
         'Every answer in JSON that is not a plain success carries `code`, `name`, `text`, `cure` and `details`.',
-        '`sickle` leaves with the exit status of the code.',
+        '`asterctl` leaves with the exit status of the code.',
         '',
         '| code | name | HTTP | exit | meaning | remedy |',
         '| --- | --- | --- | --- | --- | --- |',
--- a/asterwharf/base/command.py
+++ b/asterwharf/base/command.py
@@ -51,17 +51,17 @@
         data
             The data folder; without one the process forgets at each restart.
         minion
-            `furrow tend`: IP:port of the minion's interface.
+            `asterwharf agent`: IP:port of the minion's interface.
         token
             A token that agents and callers must show.
         core_size
             How many core processes there are.
         cores
-            `furrow tend`: the minion's cores.
+            `asterwharf agent`: the minion's cores.
         gpus
-            `furrow tend`: the minion's GPUs.
+            `asterwharf agent`: the minion's GPUs.
         mem
-            `furrow tend`: the minion's memory in bytes.
+            `asterwharf agent`: the minion's memory in bytes.
         log_level
             debug, info, warning or error.
         check
--- a/asterwharf/fleet/live.py
+++ b/asterwharf/fleet/live.py
@@ -121,11 +121,9 @@
         self._did('start', n)
         if n in self.tends and n not in self.mins:
             self.start_minion(n)
-        mod = 'asterwharf.trellis.main' if n in self.core else 'asterwharf.furrow.main'
-        sub = [] if n in self.core else ['serve' if n in self.edges else 'tend']
-        self.procs[n] = self._spawn(
-            n, [sys.executable, '-c', f'from {mod} import main; main()', *sub, p, '--test-cuts', self.path(f'{n}.cuts')]
-        )
+        program = 'controller' if n in self.core else 'edge' if n in self.edges else 'agent'
+        args = [sys.executable, '-m', 'asterwharf.main', program, p, '--test-cuts', self.path(f'{n}.cuts')]
+        self.procs[n] = self._spawn(n, args)
 
     def start_minion(self, n):
         self.mins[n] = self._spawn(
--- a/asterwharf/furrow/main.py
+++ b/asterwharf/furrow/main.py
@@ -1,5 +1,8 @@
-"""`furrow`: the data plane. `furrow serve` on edge machines, `furrow tend` beside each minion."""
+"""The data plane: `asterwharf edge` on edge machines, `asterwharf agent` beside each minion."""
 
+import sys
+
+from asterwharf.base.aliases import COMMANDS, warn
 from asterwharf.base.command import settle
 from asterwharf.clock.boot import boot_ms, wall_ms
 from asterwharf.consensus.member import cut_short, leave
@@ -46,7 +49,7 @@
     from asterwharf.link.keeper import Keeper
 
     if not st.minion:
-        print('minion: missing; `furrow tend` needs the address of its minion')
+        print('minion: missing; `asterwharf agent` needs the address of its minion')
         return 2
     sto = Store('')
     nod = node.tend(st, sto.inc, rng(), boot_ms(), wall_ms(), (st.cores, st.gpus, st.mem))
@@ -57,6 +60,10 @@
 
 
 def main():
+    """The old commands `furrow serve` and `furrow tend`."""
+    old = ' '.join(['furrow', *sys.argv[1:2]])
+    if old in COMMANDS:
+        warn(old)
     app = settle(
         'furrow',
         'The data plane of asterwharf.',
--- a/asterwharf/sickle/ask.py
+++ b/asterwharf/sickle/ask.py
@@ -1,4 +1,4 @@
-"""How `sickle` speaks to the doors: any that answers will do."""
+"""How `asterctl` speaks to the doors: any that answers will do."""
 
 import http.client
 import json
--- a/asterwharf/sickle/common.py
+++ b/asterwharf/sickle/common.py
@@ -1,4 +1,4 @@
-"""What every command of `sickle` shares."""
+"""What every command of `asterctl` shares."""
 
 import json
 import os
--- a/asterwharf/sickle/config.py
+++ b/asterwharf/sickle/config.py
@@ -1,4 +1,4 @@
-"""`sickle config` and `sickle policy`."""
+"""`asterctl config` and `asterctl policy`."""
 
 import difflib
 import json
--- a/asterwharf/sickle/main.py
+++ b/asterwharf/sickle/main.py
@@ -1,4 +1,4 @@
-"""`sickle`: the operators' command line over the whole fleet. It asks any node."""
+"""`asterctl`: the operators' command line over the whole fleet. It asks any node."""
 
 import json
 import os
@@ -9,6 +9,7 @@
 
 from cyclopts import App
 
+from asterwharf.base.aliases import warn
 from asterwharf.base.codes import TABLE
 from asterwharf.sickle.ask import Refused, call, nodes
 from asterwharf.sickle.common import At, File, Js, Within, doors, read, show
@@ -17,7 +18,7 @@
 from asterwharf.sickle.show import table
 from asterwharf.sickle.trouble import findings, gather
 
-app = App(name='sickle', help="The operators' command line of asterwharf.", help_format='plaintext')
+app = App(name='asterctl', help="The operators' command line of asterwharf.", help_format='plaintext')
 zone = App(name='zone', help='Empty a zone, and take it back.')
 minion = App(name='minion', help='Drain a minion, take it back, state that it is gone.')
 job = App(name='job', help='One job.')
@@ -301,6 +302,7 @@
 
 
 def main():
+    """The command `asterctl`."""
     try:
         app()
     except Refused as e:
@@ -311,5 +313,11 @@
         sys.exit(row.exit)
 
 
+def old_main():
+    """The old command `asterctl`."""
+    warn('sickle')
+    main()
+
+
 if __name__ == '__main__':
     main()
--- a/asterwharf/sickle/queues.py
+++ b/asterwharf/sickle/queues.py
@@ -1,4 +1,4 @@
-"""`sickle queues`, and the zones whose called-in minions get no work."""
+"""`asterctl queues`, and the zones whose called-in minions get no work."""
 
 import json
 import os
--- a/asterwharf/sickle/trouble.py
+++ b/asterwharf/sickle/trouble.py
@@ -1,4 +1,4 @@
-"""`sickle trouble`: what is wrong, which part, and what to do next, from whatever still answers.
+"""`asterctl trouble`: what is wrong, which part, and what to do next, from whatever still answers.
 
 It needs no holder and no core: every node that it has heard of is asked for its own word, all at once.
 """
--- a/asterwharf/trellis/main.py
+++ b/asterwharf/trellis/main.py
@@ -1,7 +1,8 @@
-"""`trellis`: the control plane, one on each core machine."""
+"""The control plane, one on each core machine: `asterwharf controller`."""
 
 import os
 
+from asterwharf.base.aliases import warn
 from asterwharf.base.command import settle
 from asterwharf.clock.boot import boot_ms, wall_ms
 from asterwharf.consensus.member import cut_short, leave
@@ -46,5 +47,7 @@
 
 
 def main():
+    """The old command `trellis`."""
+    warn('trellis')
     app = settle('trellis', 'The control plane of asterwharf: one on each core machine.', None, start)
     app()
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -37,7 +37,7 @@
 def test_the_settings_files_of_deploy_are_good():
     # system.toml is the users' platform's file and no settings file of a process (tests/test_platform.py reads it)
     files = sorted((Path(__file__).parent.parent / 'deploy').glob('*.toml'))
-    assert [p.name for p in files] == ['agent.toml', 'edge.toml', 'system.toml', 'trellis.toml']
+    assert [p.name for p in files] == ['agent.toml', 'controller.toml', 'edge.toml', 'system.toml']
     assert all(settings.load(str(p), {}).is_ok() for p in files if p.name != 'system.toml')
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -39,7 +39,7 @@
         tmp_path,
         {'node_name': 'a b', 'ip': 'x', 'zone': 'z', 'first_boot': 'perhaps', 'beat_every_ms': '-3', 'serves': 'edge'},
     )
-    for role in ('trellis', 'furrow', 'other'):
+    for role in ('controller', 'edge', 'trellis', 'furrow', 'other'):
         got = subprocess.run(
             [sys.executable, 'platform/start.py', role],
             cwd=ROOT,
