--- a/tests/test_house.py
+++ b/tests/test_architecture.py
@@ -1,9 +1,11 @@
-"""The house rules that a machine can check."""
+"""The rules of docs/style.md that a machine can check: layers, purity, sizes, and documents that list what the code has."""
 
 import ast
 import dataclasses
+import graphlib
 import re
 import sys
+import tomllib
 from pathlib import Path
 
 from asterwharf.base import alarms, codes, settings
@@ -12,9 +14,11 @@
 ROOT = Path(__file__).parent.parent
 # a layer may import itself and what stands after it
 LAYERS = [
+    ('main',),
     ('trellis', 'furrow', 'sickle'),
     ('fleet',),
     ('door', 'sim'),
+    ('orchard',),
     ('scheduler',),
     ('link',),
     ('ring', 'mend'),
@@ -22,7 +26,7 @@
     ('wire', 'disk', 'clock'),
     ('base',),
 ]
-PURE = ('scheduler', 'link', 'consensus', 'ring', 'mend')
+PURE = ('scheduler', 'link', 'consensus', 'ring', 'mend', 'orchard')
 
 
 def sources():
@@ -51,7 +55,7 @@
 def test_imports_only_go_down():
     rank = {n: i for i, ns in enumerate(LAYERS) for n in ns}
     for p in (ROOT / 'asterwharf').rglob('*.py'):
-        own = p.relative_to(ROOT / 'asterwharf').parts[0]
+        own = p.relative_to(ROOT / 'asterwharf').parts[0].removesuffix('.py')
         for m in imports(p):
             q = m.split('.')
             if q[0] != 'asterwharf' or len(q) < 2 or own not in rank or q[1] not in rank:
@@ -62,6 +66,33 @@
             assert rank[q[1]] >= rank[own], f'{p.name} imports {m}'
 
 
+def test_every_package_has_its_layer():
+    packages = {p.parent.name for p in (ROOT / 'asterwharf').glob('*/__init__.py')}
+    assert packages <= {n for ns in LAYERS for n in ns}
+
+
+def test_no_module_imports_itself_in_a_circle():
+    """Imports inside functions count, too."""
+    files = {'.'.join(p.relative_to(ROOT).with_suffix('').parts): p for p in (ROOT / 'asterwharf').rglob('*.py')}
+    needs = {}
+    for name, p in files.items():
+        # `from package import module` names a module, `from module import thing` the module before the thing
+        needs[name] = {m if m in files else m.rpartition('.')[0] for m in imports(p)} & files.keys()
+    try:
+        tuple(graphlib.TopologicalSorter(needs).static_order())
+    except graphlib.CycleError as e:
+        raise AssertionError(' -> '.join(e.args[1])) from None
+
+
+def test_every_module_says_what_it_is():
+    assert not [p for p in sources() if p.read_text().strip() and not ast.get_docstring(ast.parse(p.read_text()))]
+
+
+def test_only_listed_modules_wait_for_the_formatter():
+    ruff = tomllib.loads((ROOT / 'pyproject.toml').read_text())['tool']['ruff']
+    assert set(ruff['format'].get('exclude', [])) <= {'asterwharf/scheduler/clerk.py'}
+
+
 def test_the_table_of_codes_is_the_codes():
     assert (ROOT / 'docs/codes.md').read_text() == codes.table()
     assert len({c.num for c in codes.TABLE.values()}) == len(codes.TABLE)
