Rename the settings errand_ms, buffer and link.tenure_ratio; the old keys stay for one release

request_ms, request_limit and link.lease_ratio say what they bound. The old keys of a settings file are taken, named on standard error with the new one, and refused beside it (base/aliases.py); the glossary has them, a test holds it to the table.

--- a/asterwharf/base/settings.py
+++ b/asterwharf/base/settings.py
@@ -9,6 +9,7 @@
 
 from expression import Error, Ok
 
+from asterwharf.base.aliases import renamed
 from asterwharf.base.checks import read
 
 
@@ -22,7 +23,7 @@
     unhealthy_ms: int = 90000
     close_ms: int = 180000
     grace_ms: int = 120000
-    tenure_ratio: float = 0.6
+    lease_ratio: float = 0.6
     stop_ratio: float = 0.1
     drift_ratio: float = 0.05
     base_ms: int = 1000
@@ -100,9 +101,9 @@
     token: str = ''
     log_level: str = 'info'
     max_body: int = 8388608
-    errand_ms: int = 5000
+    request_ms: int = 5000
     poll_ms: int = 10000
-    buffer: int = 2000
+    request_limit: int = 2000
     leave_ms: int = 4000
     kept_jobs: int = 20000
     kept_ms: int = 86400000
@@ -150,10 +151,10 @@
                 bad.append(f'{p}{f.name}: must be above zero')
     l = s.link
     # the fence: an agent must have stopped its work before anyone may start it anew
-    if l.tenure_ratio + l.stop_ratio + l.drift_ratio >= 1:
-        bad.append('link: tenure_ratio + stop_ratio + drift_ratio must stay below 1 (of grace_ms)')
-    if l.tenure_ratio * l.grace_ms < 2 * l.beat_ms:
-        bad.append('link: tenure_ratio * grace_ms must cover two beats (2 * beat_ms)')
+    if l.lease_ratio + l.stop_ratio + l.drift_ratio >= 1:
+        bad.append('link: lease_ratio + stop_ratio + drift_ratio must stay below 1 (of grace_ms)')
+    if l.lease_ratio * l.grace_ms < 2 * l.beat_ms:
+        bad.append('link: lease_ratio * grace_ms must cover two beats (2 * beat_ms)')
     if not l.beat_ms < l.unhealthy_ms < l.close_ms:
         bad.append('link: wanted beat_ms < unhealthy_ms < close_ms')
     if s.view.beat_ratio > 0.34:
@@ -183,12 +184,15 @@
                 doc = tomllib.load(f)
         except (OSError, tomllib.TOMLDecodeError) as e:
             return Error([f'{path}: {e}'])
+    doc, twice = renamed(doc)
+    if twice:
+        return Error(twice)
     doc.update({k: v for k, v in over.items() if v is not None})
     return check(doc)
 
 
 # what a running process may take over on SIGHUP; the rest needs a restart
-SAFE = ('log_level', 'max_body', 'errand_ms', 'poll_ms', 'buffer', 'leave_ms', 'labels', 'seeds', 'call')
+SAFE = ('log_level', 'max_body', 'request_ms', 'poll_ms', 'request_limit', 'leave_ms', 'labels', 'seeds', 'call')
 
 
 def reread(old, new):
--- a/asterwharf/door/app.py
+++ b/asterwharf/door/app.py
@@ -79,7 +79,7 @@
 
     def judge(self, e):
         a = self.app
-        if e.route.open or len(a.router.pending) < a.b.set.buffer:
+        if e.route.open or len(a.ferry.trips) < a.b.set.request_limit:
             return None
         a.count['refused.overload'] += 1
         return trouble('overload', 'too many requests are under way here')
@@ -112,7 +112,7 @@
     @property
     def stall_ms(self):
         # a request that takes so long to arrive will not arrive
-        return self.b.set.errand_ms * STALL
+        return self.b.set.request_ms * STALL
 
     @property
     def count(self):
--- a/asterwharf/link/agent.py
+++ b/asterwharf/link/agent.py
@@ -66,7 +66,7 @@
         # doors that failed since the last registration -> when
         self.tried, self.turns = {}, 0
         self.okd, self.last, self.bye, self.sequence, self.emptied = b.now, b.now, False, 0, False
-        self.terms = {'beat_ms': l.beat_ms, 'tenure_ms': int(l.grace_ms * l.tenure_ratio), 'fresh_ms': l.fresh_ms}
+        self.terms = {'beat_ms': l.beat_ms, 'tenure_ms': int(l.grace_ms * l.lease_ratio), 'fresh_ms': l.fresh_ms}
         self.keeper = None
 
     def turn(self, new, why):
--- a/asterwharf/orchard/gate.py
+++ b/asterwharf/orchard/gate.py
@@ -48,7 +48,7 @@
         if old is not None:
             same = old.sum == sm and old.queue == a['queue']['name']
             return give('same') if same else self._sure(cell, give, lambda: give('other_body'))
-        if mac.open >= self.b.set.kept_jobs or len(cell.replica.pending) >= self.b.set.buffer:
+        if mac.open >= self.b.set.kept_jobs or len(cell.replica.pending) >= self.b.set.request_limit:
             # a deposed holder must not refuse what its successor may have taken
             return self._sure(
                 cell, give, lambda: give('overload', NOBODY) if a['id'] not in mac.jobs else give('unsure')
--- a/asterwharf/scheduler/handlers/jobs.py
+++ b/asterwharf/scheduler/handlers/jobs.py
@@ -56,7 +56,7 @@
             return bad.code, {'details': bad.more}
         if mac.open.get(a['tenant'], 0) >= cfg.tenants[a['tenant']].max_jobs:
             return 'tenant_full', {'retry_ms': 5000}
-        if len(cell.replica.pending) >= self.b.set.buffer:
+        if len(cell.replica.pending) >= self.b.set.request_limit:
             return 'overload', {'retry_ms': 1000}
         return None
 
--- a/asterwharf/scheduler/request_router.py
+++ b/asterwharf/scheduler/request_router.py
@@ -99,7 +99,7 @@
         """
         b = self.b
         # a full buffer is refused at once, not when its time is up
-        if len(self.pending) >= b.set.buffer:
+        if len(self.pending) >= b.set.request_limit:
             b.count['refused.overload'] += 1
             return then('overload', {'retry_ms': 1000})
         if group == 'all':
@@ -116,7 +116,7 @@
             )
         self.number += 1
         t = PendingRequest(
-            f'{self.life}.{self.number}', group, op, args, b.now + (ttl or b.set.errand_ms), then, caller
+            f'{self.life}.{self.number}', group, op, args, b.now + (ttl or b.set.request_ms), then, caller
         )
         t.cell = bool(was)
         self.pending[t.id] = t
--- a/asterwharf/scheduler/steward.py
+++ b/asterwharf/scheduler/steward.py
@@ -111,7 +111,7 @@
         return {
             'beat_ms': l.beat_ms,
             'grace_ms': l.grace_ms,
-            'tenure_ms': int(l.grace_ms * l.tenure_ratio),
+            'tenure_ms': int(l.grace_ms * l.lease_ratio),
             'fresh_ms': l.fresh_ms,
         }
 
--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -1,11 +1,13 @@
 """Bad input: each a numbered code that names the field, and nothing changed."""
 
 import copy
+import json
 from pathlib import Path
 
 import pytest
 
 from asterwharf.base import settings
+from asterwharf.base.aliases import SETTINGS
 from asterwharf.scheduler import config, jobs
 from asterwharf.sim.actors import DOC
 
@@ -23,7 +25,7 @@
         ({'core_size': True}, 'core_size: wanted int, got bool'),
         ({'link': {'beat_ms': 0}}, 'link.beat_ms: must be above zero'),
         ({'link': {'beet_ms': 1}}, 'link.beet_ms: unknown'),
-        ({'link': {'tenure_ratio': 0.9}}, 'tenure_ratio + stop_ratio'),
+        ({'link': {'lease_ratio': 0.9}}, 'lease_ratio + stop_ratio'),
         ({'link': {'beat_ms': 70000}}, 'must cover two beats'),
         ({'view': {'beat_ratio': 0.5}}, 'view.beat_ratio: at most'),
         ({'name': 'a b'}, "name: 'a b' may hold"),
@@ -48,9 +50,23 @@
 
 def test_reread_takes_the_safe_part_and_names_the_rest():
     old = settings.check(GOOD).ok
-    new = settings.check({**GOOD, 'buffer': 7, 'bind': '127.0.0.1:9'}).ok
+    new = settings.check({**GOOD, 'request_limit': 7, 'bind': '127.0.0.1:9'}).ok
     now, left = settings.reread(old, new)
-    assert now.buffer == 7 and now.bind == old.bind and left == ['bind']
+    assert now.request_limit == 7 and now.bind == old.bind and left == ['bind']
+
+
+def test_settings_under_their_old_names_are_taken_and_named(tmp_path, capsys):
+    path = tmp_path / 'old.toml'
+    rows = [f'{k} = {json.dumps(v)}' for k, v in {**GOOD, 'errand_ms': 700, 'buffer': 9}.items()]
+    path.write_text('\n'.join([*rows, '[link]', 'tenure_ratio = 0.5']))
+    got = settings.load(str(path), {}).ok
+    assert (got.request_ms, got.request_limit, got.link.lease_ratio) == (700, 9, 0.5)
+    said = capsys.readouterr().err.splitlines()
+    assert said == [
+        f'setting `{old}` is now `{new}`; the old name goes with the next release' for old, new in SETTINGS.items()
+    ]
+    path.write_text('\n'.join([*rows, 'request_ms = 600']))
+    assert settings.load(str(path), {}).error == ['errand_ms: the old name of request_ms, which is given, too']
 
 
 def broken(**over):
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -219,7 +219,7 @@
 
 
 def test_a_request_that_never_comes_to_its_end_gives_its_connection_back(live):
-    live.settings('e1', errand_ms=300)
+    live.settings('e1', request_ms=300)
     live.signal('e1', signal.SIGHUP)
     assert live.until(lambda: 'settings reread' in open(live.path('e1.log')).read())
     ws = [Wire(live.http['e1']) for _ in range(3)]
--- a/tests/test_glossary.py
+++ b/tests/test_glossary.py
@@ -3,7 +3,7 @@
 import re
 from pathlib import Path
 
-from asterwharf.base.aliases import COMMANDS
+from asterwharf.base.aliases import COMMANDS, SETTINGS
 
 ROOT = Path(__file__).parent.parent
 TEXT = (ROOT / 'docs/glossary.md').read_text()
@@ -20,6 +20,10 @@
     assert dict(table('Commands')) == COMMANDS
 
 
+def test_it_lists_the_old_settings_that_still_work():
+    assert dict(table('Settings')) == SETTINGS
+
+
 def test_the_words_and_files_it_gives_for_the_platform_are_there():
     from platform_rig import settings
 
--- a/tests/test_hold.py
+++ b/tests/test_hold.py
@@ -109,7 +109,7 @@
     s.cut()
     l = s.f.node(s.m).b.set.link
     # the tenure, the time that stopping may take, and a little for the last answered beat
-    s.run(int(l.grace_ms * (l.tenure_ratio + l.stop_ratio)) + l.beat_ms)
+    s.run(int(l.grace_ms * (l.lease_ratio + l.stop_ratio)) + l.beat_ms)
     assert not s.f.obs.live['basin/j/a'] and (s.state == HELD) is answers
 
 
--- a/tests/test_sickle.py
+++ b/tests/test_sickle.py
@@ -224,7 +224,7 @@
 
 
 def test_alarms_have_numbers_stand_and_are_cleared(live, sickle):
-    live.settings('e1', buffer=-1)
+    live.settings('e1', request_limit=-1)
     live.signal('e1', 1)
     door = live.http['e1']
     assert soon(live, lambda: '606' in sickle('metrics', '--at', door))
