--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -8,6 +8,8 @@
 import tomllib
 from pathlib import Path
 
+import conftest
+
 from asterwharf.base import alarms, codes, settings
 from asterwharf.door.routes import ROUTES
 
@@ -88,6 +90,11 @@
     assert not [p for p in sources() if p.read_text().strip() and not ast.get_docstring(ast.parse(p.read_text()))]
 
 
+def test_modules_whose_tests_share_a_fixture_stay_with_one_worker():
+    shared = {p.stem for p in (ROOT / 'tests').glob('test_*.py') if "@pytest.fixture(scope='module')" in p.read_text()}
+    assert shared == conftest.TOGETHER
+
+
 def test_only_listed_modules_wait_for_the_formatter():
     ruff = tomllib.loads((ROOT / 'pyproject.toml').read_text())['tool']['ruff']
     assert set(ruff['format'].get('exclude', [])) <= {'asterwharf/scheduler/clerk.py'}
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -20,9 +20,6 @@
 
 JOB = {'class': 'surge', 'tasks': [{'name': 'a', 'cores': 1, 'run': {'ms': 50}}]}
 
-# the tests share one fleet
-pytestmark = pytest.mark.xdist_group('door')
-
 
 @pytest.fixture(scope='module')
 def live(tmp_path_factory):
--- a/tests/test_queues_commands.py
+++ b/tests/test_queues_commands.py
@@ -12,9 +12,6 @@
 from asterwharf.fleet.live import Live
 from asterwharf.sickle.ask import one
 
-# the tests share one fleet, in their order
-pytestmark = pytest.mark.xdist_group('queues')
-
 
 @pytest.fixture(scope='module')
 def live(tmp_path_factory):
--- a/tests/test_sickle.py
+++ b/tests/test_sickle.py
@@ -14,10 +14,6 @@
 LONG = {'class': 'surge', 'tasks': [{'name': 'a', 'cores': 1, 'run': {'ms': 60000}}]}
 
 
-# the tests share one fleet, in their order
-pytestmark = pytest.mark.xdist_group('sickle')
-
-
 class StatusError(AssertionError):
     """A command ended with another status than the test wants."""
 
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -7,8 +7,6 @@
 import pytest
 
 ROOT = Path(__file__).parent.parent
-# the tests read one measurement
-pytestmark = pytest.mark.xdist_group('slopes')
 
 
 @pytest.fixture(scope='module')
