--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -91,7 +91,8 @@
 
 
 def test_modules_whose_tests_share_a_fixture_stay_with_one_worker():
-    shared = {p.stem for p in (ROOT / 'tests').glob('test_*.py') if "@pytest.fixture(scope='module')" in p.read_text()}
+    mark = re.compile(r"^@pytest\.fixture\(scope='(module|session|package)'", re.MULTILINE)
+    shared = {p.stem for p in (ROOT / 'tests').glob('test_*.py') if mark.search(p.read_text())}
     assert shared == conftest.TOGETHER
 
 
