--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -121,7 +121,7 @@
 
 
 def test_a_full_buffer_refuses_at_once_with_the_time_to_come_again():
-    f = Fleet(35, minions=1, buffer=5).start()
+    f = Fleet(35, minions=1, request_limit=5).start()
     assert f.ready()
     got, beg = [], f.w.t
     nod = f.node('e0')
