--- a/asterwharf/fleet/faults.py
+++ b/asterwharf/fleet/faults.py
@@ -208,7 +208,7 @@
 def settings_changed(live, calls, r):
     """An edge's settings file is changed and reread, then changed to a bad one, which is refused."""
     n = r.choice(_there(live, live.edges))
-    live.reread(n, buffer=1777)
+    live.reread(n, request_limit=1777)
     calls.later(1500, live.reread, n, request_limit=-1)
     calls.later(3000, live.reread, n)
 
