Tell why steps wait: counters by queue and reason, and a log line while work is late

At the leader, about every 0.2 s, each step left waiting is counted under reserved, suspect, rack, members, unreachable or no_room; every 2 s what is later than its queue's aim is logged with the share of its group in use. No decision changes.

--- a/asterwharf/orchard/placer.py
+++ b/asterwharf/orchard/placer.py
@@ -4,6 +4,7 @@
 from asterwharf.orchard.model import READY
 from asterwharf.orchard.policy import Judge
 from asterwharf.orchard.rooms import Rooms
+from asterwharf.orchard.wait_reasons import WaitReasons
 
 # starts in one decision
 MOST = 400
@@ -14,7 +15,7 @@
 class Placer(Controller):
     """Urgent queues first, then who came first; a gang whole or not at all."""
 
-    __slots__ = ('busy', 'cell', 'due', 'first', 'health', 'judge', 'stale', 'tender', 'term')
+    __slots__ = ('busy', 'cell', 'due', 'first', 'health', 'judge', 'stale', 'tender', 'term', 'wait_reasons')
 
     def __init__(self, b, cell, tender, health):
         super().__init__(b)
@@ -22,6 +23,7 @@
         self.busy, self.due, self.term, self.stale = False, 0, -1, True
         # step -> when it was first looked at with something to place
         self.first = {}
+        self.wait_reasons = WaitReasons(b, self)
 
     @property
     def mac(self):
@@ -101,6 +103,7 @@
             if m < s.ready:
                 full.add(key)
                 rooms.keep(s, waited)
+        self.wait_reasons.sample(rooms)
         # policies still have cases to judge
         self.stale = self.stale or self.judge.short
         return out
--- a/asterwharf/orchard/rooms.py
+++ b/asterwharf/orchard/rooms.py
@@ -29,7 +29,11 @@
         self.cpu, self.mem, self.gpus = (c - used[0], m - used[1], g - used[2]) if used else (c, m, g)
 
     def fits(self, need):
-        return not self.kept and need[0] <= self.cpu and need[1] <= self.mem and need[2] <= self.gpus
+        return not self.kept and self.free_for(need)
+
+    def free_for(self, need):
+        """Whether there is room for `need`, whoever it is reserved for."""
+        return need[0] <= self.cpu and need[1] <= self.mem and need[2] <= self.gpus
 
     def take(self, need):
         self.cpu, self.mem, self.gpus = self.cpu - need[0], self.mem - need[1], self.gpus - need[2]
@@ -138,7 +142,7 @@
     def keep(self, s, waited):
         """Room is kept for what needs much of it at once and has waited: one step a group and priority at a time."""
         key = (s.job.group, s.job.prio)
-        if key in self.kept or waited < self.b.set.view.silence_ms * KEEP or self._use(s.job.group) < FULL:
+        if key in self.kept or waited < self.b.set.view.silence_ms * KEEP or self.in_use(s.job.group) < FULL:
             return
         mine = [r for r in self.by.get(s.job.group, ()) if not r.kept and (not s.label or s.label in r.labels)]
         got = self._target(s, self.p.judge.land(s, mine))
@@ -148,7 +152,7 @@
             for r in got:
                 r.kept = True
 
-    def _use(self, group):
+    def in_use(self, group):
         """The share of a service's room that is in use, by what is scarcest.
 
         Minions that may be given nothing now (an emptied zone, a drain) count as room too: without them a service that
--- a/tests/yard_cell.py
+++ b/tests/yard_cell.py
@@ -36,6 +36,8 @@
             **st,
         )
         self.now, self.disk, self.minions, self.mute, self.n = 1000, Disk(1), {}, set(), 0
+        # all that the node has logged: (level, event, fields)
+        self.logged = []
         self.build()
         assert self.until(lambda: self.cell.takes and self.core.takes)
         if doc:
@@ -63,7 +65,8 @@
     # --- the world
     def turn(self):
         while True:
-            out, _ = self.node.flush()
+            out, said = self.node.flush()
+            self.logged += said
             if not out:
                 return
             for e in out:
