--- a/asterwharf/orchard/wait_reasons.py
+++ b/asterwharf/orchard/wait_reasons.py
@@ -1,6 +1,7 @@
 """Why steps wait for a start, sampled at the leader: counted by queue and reason, and logged while work is late. Pure."""
 
 from asterwharf.base.board import Controller
+from asterwharf.orchard.minion_link import REGISTERED, REGISTERING
 
 # of the silence bound: the time between two samples, and between two log lines
 SAMPLE, REPORT = 0.3, 3.0
@@ -10,7 +11,7 @@
 SUSPECT = 'suspect'  # a minion has room, but is suspected and has a run already
 RACK = 'rack'  # another rack has room; the step waits for its own
 MEMBERS = 'members'  # there is room for a member of a gang, not for all of them
-UNREACHABLE = 'unreachable'  # a minion has room, but is out of touch, draining or in an evacuated zone
+UNREACHABLE = 'unreachable'  # a minion has room, but is overdue with its beat, draining or in an evacuated zone
 NO_ROOM = 'no_room'  # no minion has room
 
 
@@ -91,7 +92,9 @@
         decided = {room.mid for room in rooms.by.get(step.job.group, ())}
         reason = NO_ROOM
         for minion_id, link in tender.links.items():
-            if link.group != step.job.group or minion_id in decided or (step.label and step.label not in link.labels):
+            if minion_id in decided or link.group != step.job.group or link.state not in (REGISTERED, REGISTERING):
+                continue
+            if step.label and step.label not in link.labels:
                 continue
             used = self.placer.mac.used.get(minion_id, (0, 0, 0))
             if any(need > size - taken for need, size, taken in zip(step.need, link.room, used, strict=True)):
--- a/asterwharf/sim/yard_figures.py
+++ b/asterwharf/sim/yard_figures.py
@@ -1,5 +1,7 @@
 """Figures of a day: how promptly work ran, what it cost in messages, syncs and wasted core-seconds."""
 
+from collections import Counter
+
 
 def mean(xs):
     return sum(xs) / len(xs) if xs else 0.0
@@ -36,6 +38,49 @@
     return out
 
 
+# of a job's worth: what does not depend on its size, and what is left of it when it is late; the most a job can be worth
+BASE_SHARE, LATE_SHARE, MOST_WORTH = 0.3, 0.3, 4.0
+
+
+def core_ms(job):
+    """The work of a job on sound minions, core milliseconds; a GPU counts as eight cores."""
+    return sum(
+        (step.get('cpu', 0) / 1000 + 8 * step.get('gpus', 0)) * sum(works)
+        for step, works in zip(job.steps, job.works, strict=True)
+    )
+
+
+def class_worth(day):
+    """{kind: share of its worth that was earned}, judged like the users' page: large jobs are worth more, late ones less.
+
+    Jobs that last, have times, were cancelled or can never be done are left out.
+    """
+    rooms = Counter()
+    for shape in day.fleet.shapes.values():
+        rooms[shape.group] += shape.cpu
+    by_kind = {}
+    for told in day.fleet.obs.jobs.values():
+        job = told.job
+        if not (job.lasts or job.times or told.cancel is not None or job.poison):
+            by_kind.setdefault(job.cls, []).append(told)
+    return {kind: _earned(jobs, rooms) for kind, jobs in sorted(by_kind.items())}
+
+
+def _earned(jobs, rooms):
+    mean_work = mean([core_ms(told.job) for told in jobs])
+    earned = owed = 0.0
+    for told in jobs:
+        job = told.job
+        worth = min(MOST_WORTH, BASE_SHARE + (1 - BASE_SHARE) * core_ms(job) / mean_work)
+        owed += worth
+        if told.final != 'finished':
+            continue
+        took = told.final_at - told.first
+        aim = job.stretch * chain(job, rooms[job.group]) + job.aim_ms
+        earned += worth if took <= aim else worth * LATE_SHARE if took <= 3 * aim else 0.0
+    return earned / owed
+
+
 def numbers(day):
     f = day.fleet
     c, w = f.obs.count, f.w
@@ -46,6 +91,7 @@
         'in_aim': round(sum(r[0] for r in rows.values()) / tot, 3) if tot else 1.0,
         'late': round(sum(r[1] for r in rows.values()) / tot, 3) if tot else 0.0,
         'kinds': {k: round(r[0] / sum(r), 2) for k, r in sorted(rows.items())},
+        'worth': {kind: round(share, 2) for kind, share in class_worth(day).items()},
         'starts': c['starts'],
         'delay_ms': round(mean(f.obs.delays)),
         'delay_p95': top(f.obs.delays, 0.95),
