Reserve room once and hold it until the step has started, no more than it needs

Cause: the rack kept for a gang was chosen anew in each decision by the free room of that moment. When another rack looked better, what had been drained was filled with other work and draining began from the start elsewhere; a whole rack was closed for a gang of two GPUs; and room made by pushing work out was not kept at all, so that victims took it back. Change: orchard/reservations.py. A plan foretells where a step finds room first as runs end; the reservation stands until the step has started, its minions are lost or it is overdue (3 times the foretold time). It holds back only what awaited runs will not give, only against steps as urgent or less. Evictions reserve the room that they make. A gang waits for its reserved rack while that costs less than running across racks.

--- a/asterwharf/orchard/mover.py
+++ b/asterwharf/orchard/mover.py
@@ -125,7 +125,8 @@
                 got = self._victims(s, stops)
                 if got is None:
                     break
-                runs, fit = got
+                runs, fit, mid = got
+                self.placer.reservations.hold_evicted(s, mid, min(fit, want), runs)
                 for t in runs:
                     self._stop(t, stops, 'pushed')
                     self.pushed[t.key] = self.pushed.get(t.key, 0) + 1
@@ -150,7 +151,7 @@
         return int(min([f // d for f, d in zip(free, s.need) if d] or [1]))
 
     def _victims(self, s, stops):
-        """The cheapest runs of lesser work whose end makes room on one minion, and for how many of the step; or None."""
+        """The cheapest runs of lesser work whose end makes room on one minion, and for how many of the step, and the minion; or None."""
         best, most = None, (s.need[0] / 1000 + s.need[2] * 8) * max(s.estimate, 100) * PRICE
         for mid, l in self.tender.links.items():
             if l.group != s.job.group or not self.tender.open(l) or (s.label and s.label not in l.labels):
@@ -158,7 +159,8 @@
             if mid in self.mac.drains or not self.placer.judge.may(s, l):
                 continue
             used = self.mac.used.get(mid, (0, 0, 0))
-            free = [r - u for r, u in zip(l.room, used)]
+            held = self.placer.reservations.held_against(s, mid)
+            free = [r - u - h for r, u, h in zip(l.room, used, held)]
             if any(d > r for d, r in zip(s.need, l.room)):
                 continue
             # what is being stopped there will make room by itself
@@ -185,7 +187,7 @@
         if best is None:
             return None
         _, mid, got = best
-        return got, max(1, self._fit(s, mid, self.tender.links[mid], [t.step.need for t in got]))
+        return got, max(1, self._fit(s, mid, self.tender.links[mid], [t.step.need for t in got])), mid
 
     def _cost(self, t, p):
         """Core milliseconds lost, about; what is saved is not lost."""
--- a/asterwharf/orchard/placer.py
+++ b/asterwharf/orchard/placer.py
@@ -3,6 +3,7 @@
 from asterwharf.base.board import Controller
 from asterwharf.orchard.model import READY
 from asterwharf.orchard.policy import Judge
+from asterwharf.orchard.reservations import Reservations
 from asterwharf.orchard.rooms import Rooms
 from asterwharf.orchard.wait_reasons import WaitReasons
 
@@ -15,7 +16,19 @@
 class Placer(Controller):
     """Urgent queues first, then who came first; a gang whole or not at all."""
 
-    __slots__ = ('busy', 'cell', 'due', 'first', 'health', 'judge', 'stale', 'tender', 'term', 'wait_reasons')
+    __slots__ = (
+        'busy',
+        'cell',
+        'due',
+        'first',
+        'health',
+        'judge',
+        'reservations',
+        'stale',
+        'tender',
+        'term',
+        'wait_reasons',
+    )
 
     def __init__(self, b, cell, tender, health):
         super().__init__(b)
@@ -23,6 +36,7 @@
         self.busy, self.due, self.term, self.stale = False, 0, -1, True
         # step -> when it was first looked at with something to place
         self.first = {}
+        self.reservations = Reservations(self)
         self.wait_reasons = WaitReasons(b, self)
 
     @property
@@ -32,6 +46,7 @@
     def tick(self):
         if self.tender.term != self.term:
             self.term, self.busy, self.first = self.tender.term, False, {}
+            self.reservations.clear()
         self.judge.tick(self.term >= 0)
         if self.term < 0 or not self.cell.takes:
             return
@@ -81,6 +96,7 @@
         self.first = {k: v for k, v in self.first.items() if k in self.mac.ready}
         self.judge.refill()
         rooms = Rooms(self)
+        self.reservations.begin(rooms)
         for s in self._order():
             waited = self.waited(s)
             # what found no room a moment ago leaves none for what asks for as much
@@ -94,15 +110,17 @@
                 s.apart and s,
                 self.judge.key(s),
             )
-            if n >= MOST or key in full:
+            if n >= MOST or (key in full and not self.reservations.of(s)):
                 continue
+            self.reservations.enter(s, rooms)
             got = rooms.gang(s, waited) if s.together else self._each(s, rooms, waited)
             out += got
+            self.reservations.leave(s, rooms, got)
             m = sum(len(g['items']) for g in got)
             n += m
             if m < s.ready:
                 full.add(key)
-                rooms.keep(s, waited)
+                self.reservations.consider(s, rooms, waited)
         self.wait_reasons.sample(rooms)
         # policies still have cases to judge
         self.stale = self.stale or self.judge.short
--- a/asterwharf/orchard/rooms.py
+++ b/asterwharf/orchard/rooms.py
@@ -2,11 +2,8 @@
 
 from asterwharf.orchard.tender import REGISTERED, REGISTERING
 
-# of the silence bound: the longest that work waits for the rack that suits it, and how long a step that needs
-# much room at once has waited until room is kept for it
-PATIENCE, KEEP = 2.5, 0.5
-# of a group's room in use: below that nobody is starved, and room kept for one only holds up others
-FULL = 0.6
+# of the silence bound: the longest that work waits for the rack that suits it
+PATIENCE = 2.5
 # what a minion without runs uses of its processor, memory and GPUs
 NOTHING = (0, 0, 0)
 
@@ -14,44 +11,58 @@
 class Room:
     """One minion's room."""
 
-    __slots__ = ('cpu', 'gpus', 'grade', 'kept', 'labels', 'link', 'mem', 'mid', 'rack', 'ready')
+    __slots__ = ('cpu', 'gpus', 'grade', 'labels', 'link', 'mem', 'mid', 'rack', 'ready', 'reserved')
 
-    def __init__(self, l, used):
-        self.mid, self.rack, self.labels, self.ready, self.grade, self.kept = (
-            l.mid,
-            l.rack,
-            l.labels,
-            l.give is not None,
+    def __init__(self, link, used):
+        self.mid, self.rack, self.labels, self.ready, self.grade = (
+            link.mid,
+            link.rack,
+            link.labels,
+            link.give is not None,
             0.0,
-            False,
         )
-        self.link, (c, m, g) = l, l.room
-        self.cpu, self.mem, self.gpus = (c - used[0], m - used[1], g - used[2]) if used else (c, m, g)
+        self.link, self.reserved = link, [0, 0, 0]
+        self.cpu, self.mem, self.gpus = (size - taken for size, taken in zip(link.room, used or NOTHING, strict=True))
 
     def fits(self, need):
-        return not self.kept and self.free_for(need)
+        """Whether there is room for `need` that is not reserved for other steps."""
+        return need[0] <= self.cpu and need[1] <= self.mem and need[2] <= self.gpus
 
     def free_for(self, need):
         """Whether there is room for `need`, whoever it is reserved for."""
-        return need[0] <= self.cpu and need[1] <= self.mem and need[2] <= self.gpus
+        free = self.unreserved()
+        return all(wanted <= have for wanted, have in zip(need, free, strict=True))
+
+    def unreserved(self):
+        """What runs leave of the minion, reserved or not."""
+        return self.cpu + self.reserved[0], self.mem + self.reserved[1], self.gpus + self.reserved[2]
 
     def take(self, need):
         self.cpu, self.mem, self.gpus = self.cpu - need[0], self.mem - need[1], self.gpus - need[2]
 
+    def reserve(self, amounts):
+        """Holds (cpu, memory, GPUs) back from the steps that are looked at from now on."""
+        self.take(amounts)
+        self.reserved = [held + more for held, more in zip(self.reserved, amounts, strict=True)]
+
+    def release(self, amounts):
+        """Undoes `reserve`."""
+        self.reserve([-amount for amount in amounts])
+
     def times(self, need, most):
         """How many of `need` fit."""
-        if self.kept:
-            return 0
         return max(0, min([most] + [int(f // d) for f, d in zip((self.cpu, self.mem, self.gpus), need) if d]))
 
 
 class Rooms:
     """All of them, by group."""
 
-    __slots__ = ('b', 'by', 'kept', 'p', 'racks')
+    __slots__ = ('_held_for', '_in_use', 'b', 'by', 'by_id', 'p', 'racks')
 
     def __init__(self, placer):
-        self.p, self.b, self.by, self.racks, self.kept = placer, placer.b, {}, {}, {}
+        self.p, self.b, self.by, self.by_id, self.racks = placer, placer.b, {}, {}, {}
+        # reservations that hold room now -> what they hold; group -> the share of its room in use as the decision begins
+        self._held_for, self._in_use = {}, {}
         mac, t, hlt, empty = placer.mac, placer.tender, placer.health, placer.b.atlas.emptied
         for mid, l in t.links.items():
             if not t.open(l) or l.zone in empty or mid in mac.drains or not hlt.trusted(l):
@@ -62,6 +73,7 @@
                 r.take(mac.need(k) or l.room)
             r.grade = hlt.grade(l)
             self.by.setdefault(l.group, []).append(r)
+            self.by_id[mid] = r
             self.racks.setdefault((l.group, l.rack), []).append(l)
 
     @property
@@ -104,7 +116,7 @@
     def gang(self, s, waited):
         """All members at once, in one rack where that pays: [] or one bundle."""
         ok, got, want = self.fit(s, waited), None, len(s.tasks)
-        wait = waited < self._worth(s)
+        wait = waited < self._worth(s) or self.p.reservations.worth_waiting(s)
         if s.near:
             got = self._whole(s, [r for r in ok if r.rack == s.near], want)
             if got is None and wait and self._held(s, s.near, want):
@@ -139,18 +151,22 @@
                 return out
         return None
 
-    def keep(self, s, waited):
-        """Room is kept for what needs much of it at once and has waited: one step a group and priority at a time."""
-        key = (s.job.group, s.job.prio)
-        if key in self.kept or waited < self.b.set.view.silence_ms * KEEP or self.in_use(s.job.group) < FULL:
+    # --- reservations
+    def hold(self, reservation):
+        """Holds a reservation's room back, unless it is held already."""
+        if id(reservation) in self._held_for:
             return
-        mine = [r for r in self.by.get(s.job.group, ()) if not r.kept and (not s.label or s.label in r.labels)]
-        got = self._target(s, self.p.judge.land(s, mine))
-        if got:
-            self.kept[key] = True
-            self.b.count['room.kept'] += 1
-            for r in got:
-                r.kept = True
+        held = {}
+        for minion_id in reservation.places:
+            if minion_id in self.by_id:
+                held[minion_id] = reservation.held_on(minion_id, self.p.mac.on.get(minion_id, {}))
+                self.by_id[minion_id].reserve(held[minion_id])
+        self._held_for[id(reservation)] = held
+
+    def release(self, reservation):
+        """Gives a reservation's room back, for the step that it is for."""
+        for minion_id, amounts in self._held_for.pop(id(reservation), {}).items():
+            self.by_id[minion_id].release(amounts)
 
     def in_use(self, group):
         """The share of a service's room that is in use, by what is scarcest.
@@ -158,7 +174,12 @@
         Minions that may be given nothing now (an emptied zone, a drain) count as room too: without them a service that
         is half idle looks full, and what is kept for one gang holds everybody else up.
         """
-        free = {room.mid: (room.cpu, room.mem, room.gpus) for room in self.by.get(group, ())}
+        if group not in self._in_use:
+            self._in_use[group] = self._count_in_use(group)
+        return self._in_use[group]
+
+    def _count_in_use(self, group):
+        free = {room.mid: room.unreserved() for room in self.by.get(group, ())}
         total, used = [0, 0, 0], [0, 0, 0]
         for mid, link in self.p.tender.links.items():
             if link.group != group or link.state not in (REGISTERED, REGISTERING):
@@ -168,27 +189,3 @@
                 total[i] += size
                 used[i] += size - free[mid][i] if mid in free else taken[i]
         return max([used[i] / total[i] for i in range(3) if total[i]] or [1.0])
-
-    def _target(self, s, rooms):
-        """The minions to leave to it: where it comes in soonest by what is free now."""
-        links = self.p.tender.links
-        if not s.together:
-            # only work that takes a good part of a minion is ever starved by small work
-            big = [r for r in rooms if self._share(s, links[r.mid].room) >= 0.5]
-            big.sort(key=lambda r: (-r.gpus, -r.cpu, r.mid))
-            return big[:1]
-        want, racks = len(s.tasks), {}
-        if not s.one_rack:
-            return []
-        for r in rooms:
-            racks.setdefault(r.rack, []).append(r)
-        able = [n for n in racks if self._held(s, n, want)]
-        if not able:
-            return []
-        best = max(able, key=lambda n: (sum(r.times(s.need, want) for r in racks[n]), n))
-        return racks[best]
-
-    def _share(self, s, room):
-        if any(d > f for d, f in zip(s.need, room)):
-            return 0
-        return max([d / f for d, f in zip(s.need, room) if f] or [0])
--- a/asterwharf/orchard/wait_reasons.py
+++ b/asterwharf/orchard/wait_reasons.py
@@ -77,7 +77,7 @@
             for room in rooms.by.get(step.job.group, ())
             if room.free_for(step.need) and (not step.label or step.label in room.labels)
         ]
-        usable = [room for room in fitting if not room.kept]
+        usable = [room for room in fitting if room.fits(step.need)]
         if usable and step.together:
             return MEMBERS
         if usable:
--- a/asterwharf/sim/yard_clients.py
+++ b/asterwharf/sim/yard_clients.py
@@ -28,8 +28,9 @@
     """Draws jobs of a kind that the site's minions can do."""
 
     def __init__(self, fleet):
-        # `hot`: whoever wants a rack wants the same one
-        self.fleet, self.n, self.hot = fleet, 0, False
+        # `hot`: whoever wants a rack wants the same one; `rng`: set where jobs are to be drawn apart from how the world rolls,
+        # so that days of two releases have the same jobs
+        self.fleet, self.n, self.hot, self.rng = fleet, 0, False, None
         by = {}
         for s in fleet.shapes.values():
             by.setdefault(s.group, []).append(s)
@@ -37,7 +38,7 @@
 
     def make(self, kind, poison=False, queue=None):
         """(job, ms after which its client cancels it or 0)."""
-        r, grp = self.fleet.w.rng, self.by[kind.group]
+        r, grp = self.rng or self.fleet.w.rng, self.by[kind.group]
         self.n += 1
         jid = f'{r.getrandbits(32):08x}{self.n:08x}'
         steps, works = [], []
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -41,6 +41,35 @@
     assert set(placed(cell, B).values()) == {'m1', 'm2', 'm3'}
 
 
+def test_no_more_of_a_rack_is_reserved_than_the_gang_needs():
+    cell = Cell(QUEUES)
+    for name in ('m1', 'm2', 'm3'):
+        cell.minion(name, rack='r1')
+    cell.submit(A, steps=[{'count': 3, 'cpu': 2500, **LONG}])
+    cell.go(300)
+    # both members fit on one minion
+    cell.submit(B, steps=[{'count': 2, 'cpu': 2000, 'together': True, 'one_rack': True, **LONG}])
+    cell.go(1500)
+    cell.submit(C, steps=[{'count': 2, 'cpu': 1500, **LONG}])
+    cell.go(1000)
+    assert len(placed(cell, C)) == 2
+
+
+def test_room_that_is_left_beside_a_reservation_is_used():
+    cell = Cell(QUEUES)
+    cell.minion('m1')
+    cell.submit(A, steps=[{'count': 1, 'cpu': 2500, **LONG}])
+    cell.go(300)
+    cell.submit(B, steps=[{'count': 1, 'cpu': 3000, **LONG}])
+    cell.go(1500)
+    # 1000 beside the reserved 3000, and free now
+    cell.submit(C, steps=[{'count': 2, 'cpu': 1000, **LONG}])
+    cell.go(1000)
+    assert len(placed(cell, C)) == 1
+    end_on(cell, 'm1', A)
+    assert placed(cell, B) == {f'{B}.0.0.0': 'm1'}
+
+
 def test_room_made_by_pushing_work_out_is_not_given_back_to_that_work():
     cell = Cell(QUEUES)
     cell.minion('m1')
