Let late work yield to equally urgent work that can be in time; check placement's invariants

Cause: within a priority the oldest came first, also where its aim had long passed. Change: orchard/urgency.py sorts by priority, then by whether the job can still be in time (aim: stretch x longest chain of estimates, with waves, + the queue's aim), then by age; a reservation holds against what comes after it in that order.

--- a/asterwharf/base/board.py
+++ b/asterwharf/base/board.py
@@ -86,6 +86,11 @@
             self.count['alarms'] += 1
             self.log(lvl, 'alarm', alarm=nam, about=about, **kws)
 
+    def violated(self, invariant, **fields):
+        """Something that must always hold does not: counted under `violated.NAME`, logged as an error, a failure in tests."""
+        self.count[f'violated.{invariant}'] += 1
+        self.log('error', 'invariant violated', invariant=invariant, **fields)
+
     def clear(self, nam, about=None):
         for n, a in self.alarms.clear(nam, about):
             self.log('info', 'alarm cleared', alarm=n, about=a)
--- a/asterwharf/orchard/mover.py
+++ b/asterwharf/orchard/mover.py
@@ -111,6 +111,9 @@
     def _push(self, stops):
         """Lesser work makes room for urgent work that has waited."""
         mac, jdg = self.mac, self.placer.judge
+        # starts on their way take room that is not counted as used yet
+        if self.placer.busy:
+            return
         jdg.refill()
         n, done = 0, set()
         going = sum(t.stop for box in mac.on.values() for t in box.values() if not t.step.job.fate)
--- a/asterwharf/orchard/placer.py
+++ b/asterwharf/orchard/placer.py
@@ -1,10 +1,12 @@
 """Decides which run starts on which minion, at the holder of the cell. Pure."""
 
 from asterwharf.base.board import Controller
+from asterwharf.orchard.minion_link import REGISTERED, REGISTERING
 from asterwharf.orchard.model import READY
 from asterwharf.orchard.policy import Judge
 from asterwharf.orchard.reservations import Reservations
 from asterwharf.orchard.rooms import Rooms
+from asterwharf.orchard.urgency import Urgency
 from asterwharf.orchard.wait_reasons import WaitReasons
 
 # starts in one decision
@@ -27,6 +29,7 @@
         'stale',
         'tender',
         'term',
+        'urgency',
         'wait_reasons',
     )
 
@@ -37,6 +40,7 @@
         # step -> when it was first looked at with something to place
         self.first = {}
         self.reservations = Reservations(self)
+        self.urgency = Urgency(self._room_of)
         self.wait_reasons = WaitReasons(b, self)
 
     @property
@@ -85,7 +89,17 @@
 
     # --- a decision
     def _order(self):
-        return sorted(self.mac.ready.values(), key=lambda s: (s.job.prio, s.job.due(s.k) or s.job.at, s.job.id, s.n))
+        self.urgency.begin(self.b.now, self.cell.wall)
+        return sorted(self.mac.ready.values(), key=self.urgency.key)
+
+    def _room_of(self, group):
+        """(cpu, memory, GPUs) of all minions of a group that are in touch."""
+        rooms = [
+            link.room
+            for link in self.tender.links.values()
+            if link.group == group and link.state in (REGISTERED, REGISTERING)
+        ]
+        return [sum(sizes) for sizes in zip((0, 0, 0), *rooms, strict=True)]
 
     def waited(self, s):
         """How long a step has had something to place, ms."""
@@ -121,6 +135,7 @@
             if m < s.ready:
                 full.add(key)
                 self.reservations.consider(s, rooms, waited)
+        rooms.truncated = n >= MOST
         self.wait_reasons.sample(rooms)
         # policies still have cases to judge
         self.stale = self.stale or self.judge.short
--- a/asterwharf/orchard/reservations.py
+++ b/asterwharf/orchard/reservations.py
@@ -29,6 +29,7 @@
     """Room for tasks of one step.
 
     places: minion id -> tasks that it is to take. awaited: minion id -> keys of the tasks whose runs there make room for them.
+    known: minion id -> keys of all runs there when it was reserved.
     ready_at and until: ms of the node's clock, when the room was foretold to be free, and when the reservation ends at the
     latest. planned: made by a plan, not by an eviction.
     """
@@ -36,6 +37,7 @@
     step: object
     places: dict
     awaited: dict
+    known: dict
     ready_at: int
     until: int
     planned: bool
@@ -96,6 +98,31 @@
         for key, reservation in list(self._by_step.items()):
             if not self._stands(key, reservation, rooms):
                 del self._by_step[key]
+            else:
+                self._check(reservation)
+
+    def _known(self, minion_ids):
+        return {minion_id: frozenset(self.placer.mac.on.get(minion_id, ())) for minion_id in minion_ids}
+
+    def _check(self, reservation):
+        """Invariant: no less urgent work that came later stands in reserved room."""
+        links, mac, step = self.placer.tender.links, self.placer.mac, reservation.step
+        for minion_id, tasks in reservation.places.items():
+            awaited, known = reservation.awaited.get(minion_id, ()), reservation.known.get(minion_id, ())
+            staying = [task for key, task in mac.on.get(minion_id, {}).items() if key not in awaited]
+            later = [task for task in staying if task.key not in known and task.step.job.prio > step.job.prio]
+            # more urgent work may take the room whoever it is reserved for
+            counted = later + [task for task in staying if task.key in known]
+            if later and any(
+                need * tasks + sum(task.step.need[i] for task in counted) > links[minion_id].room[i]
+                for i, need in enumerate(step.need)
+            ):
+                self.board.violated(
+                    'reserved_room',
+                    step=list(step_key(step)),
+                    minion=minion_id,
+                    tasks=[task.key for task in later[:5]],
+                )
 
     def _stands(self, key, reservation, rooms):
         step = self.placer.mac.ready.get(key)
@@ -114,13 +141,12 @@
             and link.state in (REGISTERED, REGISTERING)
             and not (link.drain or link.leaves or minion_id in self.placer.mac.drains)
             and link.zone not in self.board.atlas.emptied
-            and self.placer.health.grade(link) == 0
         )
 
     def enter(self, step, rooms):
         """Before a step is looked at: others' reservations hold room against it, its own does not."""
         for other in self._by_step.values():
-            if other.step.job.prio <= step.job.prio:
+            if self._goes_before(other.step, step):
                 rooms.hold(other)
         own = self.of(step)
         if own is not None:
@@ -146,6 +172,13 @@
         else:
             del self._by_step[step_key(step)]
 
+    def _rank(self, step):
+        return step.job.prio, self.placer.urgency.lateness(step)
+
+    def _goes_before(self, other, step):
+        """Whether room reserved for another step is held against this one: not where this one is the more urgent."""
+        return other is not step and self._rank(other) <= self._rank(step)
+
     # --- a plan
     def consider(self, step, rooms, waited_ms):
         """Reserves room for a step that has found none: one planned reservation a group and priority at a time."""
@@ -165,7 +198,9 @@
             return
         now, least = self.board.now, self.board.set.view.silence_ms * LEAST_AGE
         until = now + int(max(plan.wait_ms * OVERDUE, least))
-        reservation = Reservation(step, plan.places, plan.awaited, now + int(plan.wait_ms), until, planned=True)
+        reservation = Reservation(
+            step, plan.places, plan.awaited, self._known(plan.places), now + int(plan.wait_ms), until, planned=True
+        )
         self._by_step[step_key(step)] = reservation
         rooms.hold(reservation)
         self.board.count['room.kept'] += 1
@@ -258,17 +293,16 @@
         until = self.board.now + int(call.stop_grace_ms + call.beat_ms * EVICTED)
         own = self.of(step)
         if own is None:
-            own = self._by_step[step_key(step)] = Reservation(step, {}, {}, until, until, planned=False)
+            own = self._by_step[step_key(step)] = Reservation(step, {}, {}, {}, until, until, planned=False)
         own.places[minion_id] = own.places.get(minion_id, 0) + tasks
         own.awaited[minion_id] = (*own.awaited.get(minion_id, ()), *(victim.key for victim in victims))
+        own.known |= self._known((minion_id,))
         own.until = max(own.until, until)
 
     def held_against(self, step, minion_id):
         """(cpu, memory, GPUs) of a minion that reservations hold against a step."""
         running = self.placer.mac.on.get(minion_id, {})
         held = [
-            other.held_on(minion_id, running)
-            for other in self._by_step.values()
-            if other.step is not step and other.step.job.prio <= step.job.prio
+            other.held_on(minion_id, running) for other in self._by_step.values() if self._goes_before(other.step, step)
         ]
         return [sum(amounts) for amounts in zip((0, 0, 0), *held, strict=True)]
--- a/asterwharf/orchard/rooms.py
+++ b/asterwharf/orchard/rooms.py
@@ -57,10 +57,12 @@
 class Rooms:
     """All of them, by group."""
 
-    __slots__ = ('_held_for', '_in_use', 'b', 'by', 'by_id', 'p', 'racks')
+    __slots__ = ('_held_for', '_in_use', 'b', 'by', 'by_id', 'p', 'racks', 'truncated')
 
     def __init__(self, placer):
         self.p, self.b, self.by, self.by_id, self.racks = placer, placer.b, {}, {}, {}
+        # whether the decision was cut short, so that steps were not looked at
+        self.truncated = False
         # reservations that hold room now -> what they hold; group -> the share of its room in use as the decision begins
         self._held_for, self._in_use = {}, {}
         mac, t, hlt, empty = placer.mac, placer.tender, placer.health, placer.b.atlas.emptied
--- a/asterwharf/orchard/wait_reasons.py
+++ b/asterwharf/orchard/wait_reasons.py
@@ -5,6 +5,8 @@
 
 # of the silence bound: the time between two samples, and between two log lines
 SAMPLE, REPORT = 0.3, 3.0
+# of the longest wait for a rack: after which a step that waits beside free room is a fault of ours
+GRACE = 1.5
 
 # reasons, from the one that is ours to change to the one that is not
 RESERVED = 'reserved'  # an open minion has room, but it is reserved for another step
@@ -42,6 +44,8 @@
             key = (step.job.group, step.need, step.label, step.near, step.together and len(step.tasks))
             if key not in known:
                 known[key] = self.reason(step, rooms)
+                if known[key] == RACK:
+                    self._check(step, rooms)
             self._note(step, known[key], min(elapsed, self.placer.waited(step)))
         if now - self._last_report >= silence_ms * REPORT:
             self._last_report = now
@@ -58,6 +62,13 @@
         late[1] = max(late[1], waited)
         late[2][reason] = late[2].get(reason, 0) + 1
 
+    def _check(self, step, rooms):
+        """Invariant: no step waits beside room that nobody needs, but for a rack that suits it, and that not for long."""
+        judge, waited_ms = self.placer.judge, self.placer.waited(step)
+        if step.apart or judge.key(step) or rooms.truncated or waited_ms <= rooms.patience * GRACE:
+            return
+        self.b.violated('idle_room', step=[step.job.id, step.k, step.n], waited_ms=waited_ms)
+
     def _report(self, rooms):
         for queue, (steps, longest_ms, reasons, group) in sorted(self._late.items()):
             self.b.log(
--- a/asterwharf/sim/yard_days.py
+++ b/asterwharf/sim/yard_days.py
@@ -141,6 +141,9 @@
         f = self.fleet
         for t, n, code in f.net.twice[:3]:
             f.obs.no('FAULT', what='answered twice', node=n, at=t, code=code)
+        for at, node, event, fields in f.w.log:
+            if event == 'invariant violated':
+                f.obs.no('INVARIANT', what=f'{fields["invariant"]} on {node} at {at}', fields=fields)
         f.obs.versions.judge()
         for op, took in self.ops.late:
             f.obs.no('ACK', what='an order was not acknowledged in time', node=op, ms=took)
--- /dev/null
+++ b/tests/test_urgency.py
@@ -0,0 +1,75 @@
+"""The order in which steps are placed where there is not room for all."""
+
+from yard_cell import Cell
+
+QUEUES = {
+    'number': 1,
+    'queues': [
+        {'name': 'q', 'host': 'a', 'prefix': '/q/', 'group': 'g', 'priority': 1, 'stretch': 2.0, 'aim_ms': 1000},
+        {'name': 'quick', 'host': 'a', 'prefix': '/quick/', 'group': 'g', 'stretch': 2.0, 'aim_ms': 1000},
+    ],
+    'groups': [{'name': 'g'}],
+}
+HELD, OLD, NEW, URGENT, OLDEST = (letter * 16 for letter in 'abcde')
+
+
+def job_on(cell, name='m1'):
+    return [task.split('.')[0] for task in cell.on(name)]
+
+
+def crowded(ms=0):
+    """A cell whose four minions are taken by other work for so long, while a job of one second waits."""
+    cell = Cell(QUEUES)
+    for name in ('m1', 'm2', 'm3', 'm4'):
+        cell.minion(name)
+    cell.submit(HELD, steps=[{'count': 4, 'cpu': 4000, 'estimate_ms': 60000}])
+    cell.go(300)
+    cell.submit(OLD, steps=[{'count': 1, 'cpu': 4000, 'estimate_ms': 1000}])
+    cell.go(ms)
+    return cell
+
+
+def next_job(cell):
+    """Which job starts when the minion is free."""
+    [task] = cell.on('m1')
+    cell.minions['m1'].end(task)
+    assert cell.until(lambda: cell.on('m1') and cell.on('m1') != [task])
+    return job_on(cell)[0]
+
+
+def test_first_come_is_first_served_while_all_can_be_in_time():
+    cell = crowded(1000)
+    cell.submit(NEW, steps=[{'count': 1, 'cpu': 4000, 'estimate_ms': 1000}])
+    assert next_job(cell) == OLD
+
+
+def test_what_is_late_already_yields_to_what_can_be_in_time():
+    # its aim is 2 x 1000 + 1000 ms
+    cell = crowded(3000)
+    cell.submit(NEW, steps=[{'count': 1, 'cpu': 4000, 'estimate_ms': 1000}])
+    assert next_job(cell) == NEW
+    assert next_job(cell) == OLD
+
+
+def test_late_work_never_goes_before_more_urgent_work():
+    cell = crowded()
+    cell.submit(URGENT, queue='quick', steps=[{'count': 1, 'cpu': 4000, 'estimate_ms': 1000, 'together': True}])
+    cell.go(4000)
+    cell.submit(NEW, steps=[{'count': 1, 'cpu': 4000, 'estimate_ms': 1000}])
+    assert next_job(cell) == URGENT
+
+
+def test_what_can_only_be_late_goes_before_what_is_too_late_for_anything():
+    cell = crowded(6000)
+    cell.submit(NEW, steps=[{'count': 1, 'cpu': 4000, 'estimate_ms': 1000}])
+    # OLD is over three times its aim now, NEW over its aim
+    cell.go(3500)
+    assert next_job(cell) == NEW
+
+
+def test_a_step_wider_than_its_groups_room_has_more_time():
+    cell = crowded()
+    # four times a quarter of its group's room: it is reckoned to take four waves of a second
+    cell.submit(NEW, steps=[{'count': 16, 'cpu': 1000, 'estimate_ms': 1000}])
+    cell.go(4000)
+    assert next_job(cell) == NEW
