Guarantee less urgent work that has waited a fifth of its group's room

Cause: strict priority. Change: orchard/guarantees.py. Each priority may use up to 0.2 of its group's room before more urgent work is placed, for steps that have waited for their queue's aim; gangs and lasting work excepted, reserved room excepted. What stands in its share is not pushed out (but for steps that need a label).

--- /dev/null
+++ b/asterwharf/orchard/guarantees.py
@@ -0,0 +1,71 @@
+"""A guaranteed share of a group's room for less urgent work that has waited, so that urgent work can't starve it. Pure.
+
+Strict priority lets a backlog of urgent work shut out all that is less urgent, however little that would need. So each priority
+has a share of its group's room that more urgent work neither keeps from it nor pushes it out of. It counts only for work that
+has waited for its queue's aim; there is nothing to take from anyone while there is room.
+"""
+
+# of a group's room: what each priority may use before more urgent work is placed
+SHARE = 0.2
+NOTHING = (0, 0, 0)
+
+
+class Guarantees:
+    """Who uses what of each group, reckoned anew in each decision that asks."""
+
+    def __init__(self, placer):
+        self.placer = placer
+        # group -> priority -> [cpu, memory, GPUs] in use; group -> its room; both as of one decision
+        self._used, self._rooms = None, {}
+
+    def begin(self):
+        """A decision begins: runs may have started and ended."""
+        self._used, self._rooms = None, {}
+
+    def entitled(self, steps):
+        """Those of the steps, in their order, that have waited for their aim behind more urgent work of their group."""
+        most_urgent = {}
+        for step in steps:
+            most_urgent.setdefault(step.job.group, step.job.prio)
+        return [
+            step
+            for step in steps
+            if step.job.prio > most_urgent[step.job.group]
+            and not (step.lasts or step.together)
+            and self.placer.waited(step) > step.job.aim
+        ]
+
+    def tasks_left(self, step):
+        """How many more tasks of a step its priority's share has room for."""
+        left = self._left(step.job.group, step.job.prio)
+        return int(max(0, min((have // need for have, need in zip(left, step.need, strict=True) if need), default=0)))
+
+    def take(self, step, tasks):
+        """Tasks of a step have been placed in this decision."""
+        used = self._usage(step.job.group).setdefault(step.job.prio, [0, 0, 0])
+        for i, need in enumerate(step.need):
+            used[i] += need * tasks
+
+    def protects(self, task):
+        """Whether a run stands in its priority's share, where more urgent work may not push it out."""
+        return all(have >= 0 for have in self._left(task.step.job.group, task.step.job.prio))
+
+    def _left(self, group, priority):
+        if group not in self._rooms:
+            self._rooms[group] = self.placer.room_of(group)
+        used = self._usage(group).get(priority, NOTHING)
+        return [room * SHARE - taken for room, taken in zip(self._rooms[group], used, strict=True)]
+
+    def _usage(self, group):
+        if self._used is None:
+            self._used = self._count()
+        return self._used.setdefault(group, {})
+
+    def _count(self):
+        out = {}
+        for tasks in self.placer.mac.on.values():
+            for task in tasks.values():
+                used = out.setdefault(task.step.job.group, {}).setdefault(task.step.job.prio, [0, 0, 0])
+                for i, need in enumerate(task.step.need):
+                    used[i] += need
+        return out
--- a/asterwharf/orchard/mover.py
+++ b/asterwharf/orchard/mover.py
@@ -111,10 +111,8 @@
     def _push(self, stops):
         """Lesser work makes room for urgent work that has waited."""
         mac, jdg = self.mac, self.placer.judge
-        # starts on their way take room that is not counted as used yet
-        if self.placer.busy:
-            return
         jdg.refill()
+        self.placer.guarantees.begin()
         n, done = 0, set()
         going = sum(t.stop for box in mac.on.values() for t in box.values() if not t.step.job.fate)
         for s in sorted(mac.ready.values(), key=lambda s: (s.job.prio, s.job.at, s.job.id, s.n)):
@@ -175,6 +173,8 @@
                 for t, p in self._mine(l)
                 if t.step.job.prio > s.job.prio
                 and not (t.step.together or t.step.lasts)
+                # few minions suit a label: there nothing is kept from urgent work
+                and (s.label or not self.placer.guarantees.protects(t))
                 and self.placer.judge.may_evict(s, l, t)
             ]
             for c, _, t in sorted(mine, key=lambda r: r[:2]):
--- a/asterwharf/orchard/placer.py
+++ b/asterwharf/orchard/placer.py
@@ -1,6 +1,9 @@
 """Decides which run starts on which minion, at the holder of the cell. Pure."""
 
+from collections import Counter
+
 from asterwharf.base.board import Controller
+from asterwharf.orchard.guarantees import Guarantees
 from asterwharf.orchard.minion_link import REGISTERED, REGISTERING
 from asterwharf.orchard.model import READY
 from asterwharf.orchard.policy import Judge
@@ -23,8 +26,10 @@
         'cell',
         'due',
         'first',
+        'guarantees',
         'health',
         'judge',
+        'placed',
         'reservations',
         'stale',
         'tender',
@@ -39,8 +44,10 @@
         self.busy, self.due, self.term, self.stale = False, 0, -1, True
         # step -> when it was first looked at with something to place
         self.first = {}
+        # tasks that the decision under way has placed -> minions
+        self.placed = {}
         self.reservations = Reservations(self)
-        self.urgency = Urgency(self._room_of)
+        self.urgency, self.guarantees = Urgency(self.room_of), Guarantees(self)
         self.wait_reasons = WaitReasons(b, self)
 
     @property
@@ -92,7 +99,7 @@
         self.urgency.begin(self.b.now, self.cell.wall)
         return sorted(self.mac.ready.values(), key=self.urgency.key)
 
-    def _room_of(self, group):
+    def room_of(self, group):
         """(cpu, memory, GPUs) of all minions of a group that are in touch."""
         rooms = [
             link.room
@@ -111,7 +118,12 @@
         self.judge.refill()
         rooms = Rooms(self)
         self.reservations.begin(rooms)
-        for s in self._order():
+        self.guarantees.begin()
+        self.placed = {}
+        steps = self._order()
+        out += self._guaranteed(steps, rooms)
+        n, early = len(out), Counter(task.rpartition('.')[0] for task in self.placed)
+        for s in steps:
             waited = self.waited(s)
             # what found no room a moment ago leaves none for what asks for as much
             key = (
@@ -123,6 +135,8 @@
                 len(s.tasks) if s.together else 0,
                 s.apart and s,
                 self.judge.key(s),
+                # what waits for its rack leaves room elsewhere for what has waited long enough
+                rooms.patient(s, waited),
             )
             if n >= MOST or (key in full and not self.reservations.of(s)):
                 continue
@@ -132,7 +146,7 @@
             self.reservations.leave(s, rooms, got)
             m = sum(len(g['items']) for g in got)
             n += m
-            if m < s.ready:
+            if m + early[f'{s.job.id}.{s.k}.{s.n}'] < s.ready:
                 full.add(key)
                 self.reservations.consider(s, rooms, waited)
         rooms.truncated = n >= MOST
@@ -141,20 +155,40 @@
         self.stale = self.stale or self.judge.short
         return out
 
-    def _each(self, s, rooms, waited):
+    def _guaranteed(self, steps, rooms):
+        """Starts of less urgent work that has waited, within its priority's share and beside what is reserved."""
+        out = []
+        for step in self.guarantees.entitled(steps):
+            most = self.guarantees.tasks_left(step)
+            if most <= 0 or len(out) >= MOST:
+                continue
+            self.reservations.enter(step, rooms)
+            got = self._each(step, rooms, self.waited(step), most)
+            self.reservations.leave(step, rooms, got)
+            self.guarantees.take(step, len(got))
+            self.b.count['placed.guaranteed'] += len(got)
+            out += got
+        # what holds against these steps need not hold against more urgent ones
+        rooms.release_all()
+        return out
+
+    def _each(self, s, rooms, waited, most=MOST):
         out, ok = [], rooms.fit(s, waited)
         if not ok:
             return out
         on = self._spread(s) if s.apart else {}
         for t in s.tasks:
-            if t.state != READY:
+            if t.state != READY or t.key in self.placed:
                 continue
+            if len(out) >= most:
+                break
             can = [r for r in ok if r.fits(s.need) and not (s.apart and on.get(r.mid, 0) >= s.apart)]
             if not can:
                 break
             # a try that failed on one minion is made on another, where there is another
             r = next((r for r in can if not self.health.shuns(t, r.mid)), can[0])
             r.take(s.need)
+            self.placed[t.key] = r.mid
             on[r.mid] = on.get(r.mid, 0) + 1
             out.append({'items': [{'task': t.key, 'run': t.top + 1, 'mid': r.mid}]})
         return out
@@ -162,7 +196,7 @@
     def _spread(self, s):
         on = {}
         for t in s.tasks:
-            for mid in (t.mid, t.spare[1] if t.spare else ''):
+            for mid in (t.mid, t.spare[1] if t.spare else '', self.placed.get(t.key, '')):
                 if mid:
                     on[mid] = on.get(mid, 0) + 1
         return on
--- a/asterwharf/orchard/reservations.py
+++ b/asterwharf/orchard/reservations.py
@@ -16,6 +16,8 @@
 # of a group's room in use: from where room is reserved, and below which no reservation stands. The two differ, since
 # draining room for a reservation lowers what is in use
 RESERVE_FROM, RESERVE_DOWN_TO = 0.6, 0.5
+# of the silence bound: for how long less is in use until reservations are dropped; room that was waited for comes free at once
+LOW = 1.0
 # of a minion's room: a single task that takes less of it is never starved by small work
 LARGE_TASK = 0.5
 # plans made in one decision, at most: each looks at all runs of a group
@@ -31,7 +33,7 @@
     places: minion id -> tasks that it is to take. awaited: minion id -> keys of the tasks whose runs there make room for them.
     known: minion id -> keys of all runs there when it was reserved.
     ready_at and until: ms of the node's clock, when the room was foretold to be free, and when the reservation ends at the
-    latest. planned: made by a plan, not by an eviction.
+    latest. planned: made by a plan, not by an eviction. low_since: since when little of the group has been in use.
     """
 
     step: object
@@ -41,6 +43,7 @@
     ready_at: int
     until: int
     planned: bool
+    low_since: int
 
     def held_on(self, minion_id, running):
         """(cpu, memory, GPUs) to hold back on a minion: what its tasks need beyond what awaited runs will still give.
@@ -108,8 +111,9 @@
         """Invariant: no less urgent work that came later stands in reserved room."""
         links, mac, step = self.placer.tender.links, self.placer.mac, reservation.step
         for minion_id, tasks in reservation.places.items():
-            awaited, known = reservation.awaited.get(minion_id, ()), reservation.known.get(minion_id, ())
-            staying = [task for key, task in mac.on.get(minion_id, {}).items() if key not in awaited]
+            running, awaited = mac.on.get(minion_id, {}), reservation.awaited.get(minion_id, ())
+            known = reservation.known.setdefault(minion_id, frozenset(running))
+            staying = [task for key, task in running.items() if key not in awaited]
             later = [task for task in staying if task.key not in known and task.step.job.prio > step.job.prio]
             # more urgent work may take the room whoever it is reserved for
             counted = later + [task for task in staying if task.key in known]
@@ -128,11 +132,18 @@
         step = self.placer.mac.ready.get(key)
         if step is None or self.board.now >= reservation.until:
             return False
-        if reservation.planned and rooms.in_use(step.job.group) < RESERVE_DOWN_TO:
+        if reservation.planned and self._long_unneeded(reservation, rooms.in_use(step.job.group)):
             return False
         reservation.step = step
         return all(self._usable(minion_id) for minion_id in reservation.places)
 
+    def _long_unneeded(self, reservation, in_use):
+        """Whether so little of the group has been in use for a while that nobody needs reservations."""
+        now = self.board.now
+        if in_use >= RESERVE_DOWN_TO:
+            reservation.low_since = now
+        return now - reservation.low_since > self.board.set.view.silence_ms * LOW
+
     def _usable(self, minion_id):
         """Whether a minion may be given work, now or with its next beat."""
         link = self.placer.tender.links.get(minion_id)
@@ -199,7 +210,14 @@
         now, least = self.board.now, self.board.set.view.silence_ms * LEAST_AGE
         until = now + int(max(plan.wait_ms * OVERDUE, least))
         reservation = Reservation(
-            step, plan.places, plan.awaited, self._known(plan.places), now + int(plan.wait_ms), until, planned=True
+            step,
+            plan.places,
+            plan.awaited,
+            self._known(plan.places),
+            now + int(plan.wait_ms),
+            until,
+            planned=True,
+            low_since=now,
         )
         self._by_step[step_key(step)] = reservation
         rooms.hold(reservation)
@@ -293,16 +311,21 @@
         until = self.board.now + int(call.stop_grace_ms + call.beat_ms * EVICTED)
         own = self.of(step)
         if own is None:
-            own = self._by_step[step_key(step)] = Reservation(step, {}, {}, {}, until, until, planned=False)
+            own = self._by_step[step_key(step)] = Reservation(
+                step, {}, {}, {}, until, until, planned=False, low_since=until
+            )
         own.places[minion_id] = own.places.get(minion_id, 0) + tasks
         own.awaited[minion_id] = (*own.awaited.get(minion_id, ()), *(victim.key for victim in victims))
-        own.known |= self._known((minion_id,))
+        # starts on their way are not counted as runs yet: the next decision knows them
+        own.known.pop(minion_id, None)
         own.until = max(own.until, until)
 
     def held_against(self, step, minion_id):
         """(cpu, memory, GPUs) of a minion that reservations hold against a step."""
         running = self.placer.mac.on.get(minion_id, {})
         held = [
-            other.held_on(minion_id, running) for other in self._by_step.values() if self._goes_before(other.step, step)
+            other.held_on(minion_id, running)
+            for other in self._by_step.values()
+            if minion_id in other.places and self._goes_before(other.step, step)
         ]
         return [sum(amounts) for amounts in zip((0, 0, 0), *held, strict=True)]
--- a/asterwharf/orchard/rooms.py
+++ b/asterwharf/orchard/rooms.py
@@ -90,6 +90,10 @@
         most = self.patience / 2 if any(t.top for t in s.tasks) else self.patience
         return min(most, s.estimate * (self.b.set.call.far_factor - 1))
 
+    def patient(self, step, waited):
+        """Whether a step may still wait for the rack that suits it."""
+        return bool(step.near or step.one_rack) and waited < self._worth(step)
+
     def _held(self, s, rack, want):
         """Whether a rack could hold so many tasks of this step if it were empty."""
         n = 0
@@ -170,6 +174,13 @@
         for minion_id, amounts in self._held_for.pop(id(reservation), {}).items():
             self.by_id[minion_id].release(amounts)
 
+    def release_all(self):
+        """Gives back what all reservations hold."""
+        for held in self._held_for.values():
+            for minion_id, amounts in held.items():
+                self.by_id[minion_id].release(amounts)
+        self._held_for = {}
+
     def in_use(self, group):
         """The share of a service's room that is in use, by what is scarcest.
 
--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -73,3 +73,35 @@
     cell.submit(NEW, steps=[{'count': 16, 'cpu': 1000, 'estimate_ms': 1000}])
     cell.go(4000)
     assert next_job(cell) == NEW
+
+
+def test_work_that_has_waited_for_its_rack_is_not_held_up_by_newer_work_that_still_waits_for_it():
+    cell = Cell(QUEUES)
+    cell.minion('m1', rack='r1')
+    cell.minion('m2', rack='r2')
+    # both racks are full
+    cell.submit(HELD, steps=[{'count': 2, 'cpu': 4000, 'estimate_ms': 60000}])
+    cell.go(300)
+    near = {'count': 1, 'cpu': 1000, 'estimate_ms': 2000, 'near': 'r1'}
+    cell.submit(OLD, steps=[near])
+    cell.go(9000)
+    # in time, and as patient as OLD was: it looks for r1 first
+    cell.submit(NEW, steps=[near])
+    [task] = cell.on('m2')
+    cell.minions['m2'].end(task)
+    assert cell.until(lambda: job_on(cell, 'm2') == [OLD], 1500)
+
+
+def test_tasks_placed_for_a_share_count_when_few_may_stand_on_one_minion():
+    cell = Cell(QUEUES)
+    cell.minion('m1', cpu=20000)
+    cell.submit(HELD, queue='quick', steps=[{'count': 20, 'cpu': 1000, 'estimate_ms': 20000}])
+    cell.go(300)
+    cell.submit(URGENT, queue='quick', steps=[{'count': 2, 'cpu': 1000, 'estimate_ms': 20000}])
+    cell.submit(OLD, steps=[{'count': 8, 'cpu': 1000, 'estimate_ms': 20000, 'apart': 2}])
+    cell.go(1600)
+    for task in cell.on('m1')[:10]:
+        cell.minions['m1'].end(task)
+    assert cell.until(lambda: OLD in job_on(cell))
+    cell.go(500)
+    assert job_on(cell).count(OLD) == 2
