Hold the same minions for a starved bundle; push out no more while made room waits for a beat

Tests for both; the soak's jobs are heavier, so that work waits, is pushed out and has room reserved.

--- a/asterwharf/orchard/mover.py
+++ b/asterwharf/orchard/mover.py
@@ -121,7 +121,7 @@
                 continue
             done.add(key)
             # what is being stopped already makes room for some of its tasks
-            want = s.ready - self._coming(s, stops)
+            want = s.ready - self._coming(s, stops) - self.placer.reservations.made(s)
             while want > 0 and going + n < PUSHES:
                 got = self._victims(s, stops)
                 if got is None:
--- a/asterwharf/orchard/reservations.py
+++ b/asterwharf/orchard/reservations.py
@@ -320,6 +320,18 @@
         own.known.pop(minion_id, None)
         own.until = max(own.until, until)
 
+    def made(self, step):
+        """How many tasks of a step have room made already, that waits only for the minion's next beat."""
+        own = self.of(step)
+        if own is None:
+            return 0
+        running = self.placer.mac.on
+        return sum(
+            tasks
+            for minion_id, tasks in own.places.items()
+            if not any(key in running.get(minion_id, {}) for key in own.awaited.get(minion_id, ()))
+        )
+
     def held_against(self, step, minion_id):
         """(cpu, memory, GPUs) of a minion that reservations hold against a step."""
         running = self.placer.mac.on.get(minion_id, {})
--- a/asterwharf/scheduler/evict.py
+++ b/asterwharf/scheduler/evict.py
@@ -60,14 +60,17 @@
     return sum(v.want == 'evict' for v in mac.by[STOPPING].values())
 
 
-def hold_room(plc, grp, rooms, cfg):
+def hold_room(plc, bundle, grp, rooms, cfg):
     """Keeps minions free for a bundle that has waited long: they take nothing else until it fits.
 
-    Only whole sizes count here: what is on them now will end.
+    Only whole sizes count here: what is on them now will end. What was kept for the same bundle before stays kept, else
+    what was drained for it is given away as soon as another minion has more room.
     """
+    before = plc.kept[1] if plc.kept[0] == bundle else ()
     got, left = [], {r.m.name: [r.m.cores, r.m.gpus, r.m.mem] for r in rooms}
+    by_choice = sorted(rooms, key=lambda r: (r.m.name not in before, -r.slack, r.m.name))
     for t in sorted(grp, key=lambda o: (-o.cores, o.key)):
-        for r in sorted(rooms, key=lambda r: (-r.slack, r.m.name)):
+        for r in by_choice:
             c, g, x = left[r.m.name]
             if t.cores <= c + 1e-9 and t.gpus <= g and t.mem <= x and not plc.allowed(t, r.m, cfg):
                 left[r.m.name] = [c - t.cores, g - t.gpus, x - t.mem]
@@ -76,4 +79,5 @@
         else:
             # no minion is large enough: it may wait, but it holds nothing back
             return []
+    plc.kept = bundle, frozenset(r.m.name for r in got)
     return got
--- a/asterwharf/scheduler/placer.py
+++ b/asterwharf/scheduler/placer.py
@@ -43,7 +43,22 @@
 class Placer(Controller):
     """Takes urgent classes first, then the tenant that has least for its weight."""
 
-    __slots__ = ('buf', 'busy', 'cell', 'dim', 'due', 'fit', 'left', 'lit', 'made', 'now', 'steps', 'verdicts', 'weak')
+    __slots__ = (
+        'buf',
+        'busy',
+        'cell',
+        'dim',
+        'due',
+        'fit',
+        'kept',
+        'left',
+        'lit',
+        'made',
+        'now',
+        'steps',
+        'verdicts',
+        'weak',
+    )
 
     def __init__(self, b, cell):
         super().__init__(b)
@@ -51,6 +66,8 @@
         self.buf, self.dim, self.lit, self.left, self.steps, self.verdicts = None, -1 << 40, 0, JUDGED, 0, {}
         # minion -> (bundle that others were pushed out for, until when); the bundle that is tried just now
         self.made, self.now = {}, ''
+        # the bundle for which room is held, and the minions that are kept free for it
+        self.kept = '', frozenset()
 
     @property
     def mac(self):
@@ -312,7 +329,7 @@
                 continue
             if self._try(ten, ln, grp, rooms, cfg, use, bundles):
                 break
-            keep = hold_room(self, grp, rooms, cfg)
+            keep = hold_room(self, nam, grp, rooms, cfg)
             for r in keep:
                 r.held = True
             if keep:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -29,6 +29,8 @@
 # seconds: how long a trouble lasts, between two, and how long all that was accepted may take once all is calm
 TROUBLE_S, PAUSE_S, CALM_S = (0.5, 4.0), (0.3, 1.5), 60.0
 AT_ONCE = 3
+# as many as fill the minions, so that work waits, is pushed out and has room reserved for it
+JOBS_A_SECOND = 6.0
 QUEUES = (('urgent', 0, 500), ('gangs', 1, 2000), ('batch', 2, 4000))
 DOCUMENT = {
     'version': 1,
@@ -116,10 +118,10 @@
     def submit(self):
         """Hands one job in, again and again until it is answered; under the same identifier it stays one job."""
         r = self.random
-        queue, _, _ = r.choices(QUEUES, weights=(5, 1, 2))[0]
+        queue, _, _ = r.choices(QUEUES, weights=(4, 2, 4))[0]
         gang = queue == 'gangs'
         count = r.randint(2, 4) if gang else r.randint(1, 8)
-        need = [r.choice((4000, 13000)), 2000, r.choice((1, 4))] if gang else [r.choice((1000, 3000)), 1000, 0]
+        need = [r.choice((4000, 13000)), 2000, r.choice((1, 4, 8))] if gang else [r.choice((2000, 7000)), 1000, 0]
         payload = {'ms': r.randint(200, 2500), 'members': count if gang else 1, 'need': need}
         step = {'count': count, 'cpu': need[0], 'mem_mb': need[1], 'gpus': need[2], 'estimate_ms': r.randint(100, 5000)}
         step |= {'all_together': True, 'same_rack': r.random() < 0.5} if gang else {}
@@ -246,7 +248,7 @@
                 next_trouble = now + self.random.uniform(*PAUSE_S)
             if now >= next_job:
                 self.submit()
-                next_job = now + self.random.expovariate(3.0)
+                next_job = now + self.random.expovariate(JOBS_A_SECOND)
             time.sleep(0.02)
         for _, _, heal in under_way:
             heal()
@@ -284,8 +286,16 @@
                     self.truth.broke('INVARIANT', node=node.name, line=line[:400])
 
     def figures(self):
-        states = list(self.jobs.values())
-        return {'jobs': len(states), 'failed': states.count('failed'), **self.truth.counts, 'troubles': len(self.said)}
+        """Counts of jobs, of what became of their runs, of pushes and of troubles."""
+        states, logs = list(self.jobs.values()), ''.join(node.log() for node in self.nodes)
+        return {
+            'jobs': len(states),
+            'failed': states.count('failed'),
+            **self.truth.counts,
+            'pushed': logs.count('"pushed"'),
+            'late': logs.count('"steps wait"'),
+            'troubles': len(self.said),
+        }
 
 
 def play(seed, seconds, folder):
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -95,3 +95,27 @@
     cell.go(500)
     assert list(placed(cell, B).values()) == ['m1']
     assert all(cell.cell.mac.task(task).top == 1 for task in stops), 'a victim took the room that its stop had made'
+
+
+def test_no_more_is_pushed_out_while_room_that_was_made_waits_for_its_minion():
+    cell = Cell(QUEUES)
+    for name in ('m1', 'm2'):
+        cell.minion(name)
+    cell.submit(A, steps=[{'count': 8, 'cpu': 1000, **LONG}])
+    cell.go(600)
+    cell.submit(B, queue='quick', steps=[{'count': 1, 'cpu': 1000, 'estimate_ms': 4000}])
+    assert cell.until(lambda: cell.b.count['moved.pushed'] == 1, 3000)
+    [victim] = [
+        name
+        for name in cell.minions
+        if len(cell.on(name)) == 4 and any(t.stop for t in cell.cell.mac.on[name].values())
+    ]
+    assert cell.until(lambda: len(cell.on(victim)) == 3 or placed(cell, B), 3000)
+    # the minion is overdue with its beat for a while: it may get nothing, but its room is there
+    if not placed(cell, B):
+        cell.mute.add(victim)
+        cell.go(900)
+        assert cell.b.count['moved.pushed'] == 1
+        cell.mute.discard(victim)
+    assert cell.until(lambda: placed(cell, B), 3000)
+    assert cell.b.count['moved.pushed'] == 1
