Reserve no more room ahead of work that still lacks its guaranteed share

Change: no new reservation is planned for a priority while a less urgent one has work that found no room for its share.

--- a/asterwharf/orchard/guarantees.py
+++ b/asterwharf/orchard/guarantees.py
@@ -17,10 +17,12 @@
         self.placer = placer
         # group -> priority -> [cpu, memory, GPUs] in use; group -> its room; both as of one decision
         self._used, self._rooms = None, {}
+        # group -> priorities with work that found no room for the share that it is entitled to
+        self._unmet = {}
 
     def begin(self):
         """A decision begins: runs may have started and ended."""
-        self._used, self._rooms = None, {}
+        self._used, self._rooms, self._unmet = None, {}, {}
 
     def entitled(self, steps):
         """Those of the steps, in their order, that have waited for their aim behind more urgent work of their group."""
@@ -40,6 +42,14 @@
         left = self._left(step.job.group, step.job.prio)
         return int(max(0, min((have // need for have, need in zip(left, step.need, strict=True) if need), default=0)))
 
+    def owe(self, step):
+        """A step found no room for tasks that its priority's share has room for."""
+        self._unmet.setdefault(step.job.group, set()).add(step.job.prio)
+
+    def owed_behind(self, step):
+        """Whether less urgent work of the group still lacks its share: no more room is reserved ahead of it then."""
+        return any(priority > step.job.prio for priority in self._unmet.get(step.job.group, ()))
+
     def take(self, step, tasks):
         """Tasks of a step have been placed in this decision."""
         used = self._usage(step.job.group).setdefault(step.job.prio, [0, 0, 0])
--- a/asterwharf/orchard/placer.py
+++ b/asterwharf/orchard/placer.py
@@ -166,6 +166,8 @@
             got = self._each(step, rooms, self.waited(step), most)
             self.reservations.leave(step, rooms, got)
             self.guarantees.take(step, len(got))
+            if len(got) < min(most, step.ready):
+                self.guarantees.owe(step)
             self.b.count['placed.guaranteed'] += len(got)
             out += got
         # what holds against these steps need not hold against more urgent ones
--- a/asterwharf/orchard/reservations.py
+++ b/asterwharf/orchard/reservations.py
@@ -201,7 +201,7 @@
         ):
             return
         candidates = self._candidates(step, rooms)
-        if not candidates or rooms.in_use(step.job.group) < RESERVE_FROM:
+        if not candidates or self.placer.guarantees.owed_behind(step) or rooms.in_use(step.job.group) < RESERVE_FROM:
             return
         self._plans_left -= 1
         plan = self._plan(step, rooms, candidates)
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -108,3 +108,23 @@
     assert not runs(cell, BATCH)
     end_some(cell, 1)
     assert cell.until(lambda: len(runs(cell, GANG)) == 2)
+
+
+def test_no_more_room_is_reserved_ahead_of_a_share_that_is_not_met():
+    cell = Cell(QUEUES)
+    for i in range(5):
+        cell.minion(f'm{i}')
+    cell.submit(RUNNING, steps=[{'count': 5, 'cpu': 4000, **USUAL}])
+    cell.go(300)
+    cell.submit(BATCH, queue='batch', steps=[{'count': 4, 'cpu': 1000, **USUAL}])
+    cell.go(1500)
+    # a large task of the urgent queue comes: it would have a whole minion reserved, at once and again
+    cell.submit(BACKLOG, steps=[{'count': 4, 'cpu': 3000, **USUAL}])
+    cell.go(1500)
+    assert not cell.b.count['room.kept']
+    end_some(cell, 1)
+    # the share goes first; what is left of the minion is too small for the large task
+    assert len(runs(cell, BATCH)) == 4 and not runs(cell, BACKLOG)
+    cell.go(1500)
+    # the share is met: now room is reserved for the urgent one
+    assert cell.b.count['room.kept']
