--- a/asterwharf/orchard/guarantees.py
+++ b/asterwharf/orchard/guarantees.py
@@ -5,8 +5,8 @@
 has waited for its queue's aim; there is nothing to take from anyone while there is room.
 """
 
-# of a group's room: what each priority may use before more urgent work is placed
-SHARE = 0.2
+# of a group's room: what each priority may use before more urgent work is placed, and what all of them may together
+SHARE, ALL_SHARES = 0.2, 0.4
 NOTHING = (0, 0, 0)
 
 
@@ -19,6 +19,8 @@
         self._used, self._rooms = None, {}
         # group -> priorities with work that found no room for the share that it is entitled to
         self._unmet = {}
+        # group -> the most urgent priority that has work waiting
+        self._most_urgent = {}
 
     def begin(self):
         """A decision begins: runs may have started and ended."""
@@ -26,20 +28,21 @@
 
     def entitled(self, steps):
         """Those of the steps, in their order, that have waited for their aim behind more urgent work of their group."""
-        most_urgent = {}
+        self._most_urgent = {}
         for step in steps:
-            most_urgent.setdefault(step.job.group, step.job.prio)
+            self._most_urgent.setdefault(step.job.group, step.job.prio)
         return [
             step
             for step in steps
-            if step.job.prio > most_urgent[step.job.group]
+            if step.job.prio > self._most_urgent[step.job.group]
             and not (step.lasts or step.together)
             and self.placer.waited(step) > step.job.aim
         ]
 
     def tasks_left(self, step):
         """How many more tasks of a step its priority's share has room for."""
-        left = self._left(step.job.group, step.job.prio)
+        group = step.job.group
+        left = self._left(group, step.job.prio, self._most_urgent[group])
         return int(max(0, min((have // need for have, need in zip(left, step.need, strict=True) if need), default=0)))
 
     def owe(self, step):
@@ -56,15 +59,21 @@
         for i, need in enumerate(step.need):
             used[i] += need * tasks
 
-    def protects(self, task):
-        """Whether a run stands in its priority's share, where more urgent work may not push it out."""
-        return all(have >= 0 for have in self._left(task.step.job.group, task.step.job.prio))
+    def protects(self, task, urgent):
+        """Whether a run stands in its priority's share, where the more urgent step `urgent` may not push it out."""
+        job = task.step.job
+        return all(have >= 0 for have in self._left(job.group, job.prio, urgent.job.prio))
 
-    def _left(self, group, priority):
+    def _left(self, group, priority, urgent):
+        """(cpu, memory, GPUs) that a priority may still use before priority `urgent`: of its own share and of all shares."""
         if group not in self._rooms:
             self._rooms[group] = self.placer.room_of(group)
-        used = self._usage(group).get(priority, NOTHING)
-        return [room * SHARE - taken for room, taken in zip(self._rooms[group], used, strict=True)]
+        usage, left = self._usage(group), []
+        for i, room in enumerate(self._rooms[group]):
+            own = usage.get(priority, NOTHING)[i]
+            together = sum(min(used[i], room * SHARE) for other, used in usage.items() if other > urgent)
+            left.append(min(room * SHARE - own, room * ALL_SHARES - together))
+        return left
 
     def _usage(self, group):
         if self._used is None:
--- a/asterwharf/orchard/mover.py
+++ b/asterwharf/orchard/mover.py
@@ -174,7 +174,7 @@
                 if t.step.job.prio > s.job.prio
                 and not (t.step.together or t.step.lasts)
                 # few minions suit a label: there nothing is kept from urgent work
-                and (s.label or not self.placer.guarantees.protects(t))
+                and (s.label or not self.placer.guarantees.protects(t, s))
                 and self.placer.judge.may_evict(s, l, t)
             ]
             for c, _, t in sorted(mine, key=lambda r: r[:2]):
--- a/asterwharf/orchard/urgency.py
+++ b/asterwharf/orchard/urgency.py
@@ -23,12 +23,19 @@
     TOO_LATE = 2
 
 
-def chain_ms(spec, first, waves):
-    """The longest chain of estimates from step number `first` on, ms; `waves(step)` is by how much a wide step takes longer."""
-    step = spec[first]
-    own = (step.get('estimate_ms') or 0) * waves(step)
-    behind = [n for n, other in enumerate(spec) if first in (other.get('after') or ())]
-    return own + max((chain_ms(spec, n, waves) for n in behind), default=0)
+def chains_ms(spec, waves):
+    """For each step the longest chain of estimates that begins with it, ms; `waves(step)` is by how much a wide step takes longer.
+
+    A step waits for earlier ones only, so that one pass from the last to the first is enough, however they hang together.
+    """
+    behind = [0.0] * len(spec)
+    chains = [0.0] * len(spec)
+    for n in range(len(spec) - 1, -1, -1):
+        step = spec[n]
+        chains[n] = (step.get('estimate_ms') or 0) * waves(step) + behind[n]
+        for earlier in step.get('after') or ():
+            behind[earlier] = max(behind[earlier], chains[n])
+    return chains
 
 
 class Urgency:
@@ -67,11 +74,11 @@
         room = self._room(job.group)
         known = self._known.get((job.id, step_number))
         if known is None:
-            waves = partial(self._waves, room)
-            roots = [n for n, step in enumerate(job.spec) if not step.get('after')]
-            whole = max(chain_ms(job.spec, n, waves) for n in roots)
-            known = job.stretch * whole + job.aim, chain_ms(job.spec, step_number, waves)
-            self._known[job.id, step_number] = known
+            chains = chains_ms(job.spec, partial(self._waves, room))
+            aim_ms = job.stretch * max(chains) + job.aim
+            for number, chain in enumerate(chains):
+                self._known[job.id, number] = aim_ms, chain
+            known = self._known[job.id, step_number]
         return known
 
     def _room(self, group):
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -128,3 +128,21 @@
     cell.go(1500)
     # the share is met: now room is reserved for the urgent one
     assert cell.b.count['room.kept']
+
+
+def test_all_shares_together_leave_most_of_the_room_to_urgent_work():
+    names = [f'batch{i}' for i in range(6)]
+    more = [dict(QUEUES['queues'][1], name=name, prefix=f'/{name}/', priority=2 + i) for i, name in enumerate(names)]
+    cell = Cell(dict(QUEUES, queues=[QUEUES['queues'][0], *more]))
+    for i in range(5):
+        cell.minion(f'm{i}')
+    cell.submit(RUNNING, steps=[{'count': 20, 'cpu': 1000, **USUAL}])
+    cell.go(300)
+    cell.submit(BACKLOG, steps=[{'count': 40, 'cpu': 1000, **USUAL}])
+    for i, name in enumerate(names):
+        cell.submit(f'{i}' * 16, queue=name, steps=[{'count': 10, 'cpu': 1000, **USUAL}])
+    cell.go(1500)
+    end_some(cell, 20)
+    # six shares of a fifth would be more than there is: two fifths for all of them
+    assert len(runs(cell, BACKLOG)) == 12
+    assert sum(len(runs(cell, f'{i}' * 16)) for i in range(6)) == 8
--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -2,6 +2,8 @@
 
 from yard_cell import Cell
 
+from asterwharf.orchard.urgency import chains_ms
+
 QUEUES = {
     'number': 1,
     'queues': [
@@ -105,3 +107,20 @@
     assert cell.until(lambda: OLD in job_on(cell))
     cell.go(500)
     assert job_on(cell).count(OLD) == 2
+
+
+def test_a_job_of_many_steps_that_wait_for_all_before_is_reckoned_in_one_pass():
+    spec = [{'estimate_ms': 10, 'after': list(range(n))} for n in range(200)]
+    calls = []
+    chains = chains_ms(spec, lambda step: calls.append(step) or 1.0)
+    assert (chains[0], chains[-1], len(calls)) == (2000, 10, 200)
+
+
+def test_the_longest_chain_counts():
+    spec = [
+        {'estimate_ms': 100},
+        {'estimate_ms': 500},
+        {'estimate_ms': 50, 'after': [0, 1]},
+        {'estimate_ms': 300, 'after': [0]},
+    ]
+    assert chains_ms(spec, lambda step: 1.0) == [400, 550, 50, 300]
