--- a/asterwharf/base/board.py
+++ b/asterwharf/base/board.py
@@ -70,6 +70,10 @@
         """The sequence of the configuration in force here."""
         return self.config.sequence if self.config else 0
 
+    def without(self, mechanism):
+        """Whether a trial has switched a mechanism off."""
+        return mechanism in self.set.call.without
+
     def send(self, dst, knd, **doc):
         self.out.append(('send', dst, knd, doc))
         self.count[f'sent.{knd}'] += 1
--- a/asterwharf/base/codes.py
+++ b/asterwharf/base/codes.py
@@ -55,6 +55,8 @@
     'Check that both ends are asterwharf.',
 )
 _c(213, 'bad_settings', 400, 'The settings file has mistakes.', 'Correct the paths listed.')
+_c(215, 'bad_trial', 400, 'A trial names what does not exist.', 'Correct the variant, mechanism or file listed.')
+_c(216, 'bad_report', 400, 'A report of the bench is wrong or cut short.', 'Play it again; no figure is taken from it.')
 _c(300, 'unknown_job', 404, 'No job is kept under this identifier.', 'Check tenant and identifier, or submit it.')
 _c(301, 'other_body', 409, 'Another body is kept under this identifier.', 'Choose a new identifier.')
 _c(
--- a/asterwharf/base/settings.py
+++ b/asterwharf/base/settings.py
@@ -11,6 +11,7 @@
 
 from asterwharf.base.aliases import renamed
 from asterwharf.base.checks import read
+from asterwharf.base.mechanisms import unknown
 
 
 @dataclass(frozen=True)
@@ -79,6 +80,8 @@
     drain_ms: int = 2000
     evacuate_ms: int = 5000
     leave_grace_ms: int = 1000
+    # for trials only: mechanisms that are switched off, by the names of base/mechanisms.py
+    without: list[str] = field(default_factory=list)
 
 
 @dataclass(frozen=True)
@@ -161,6 +164,7 @@
         bad.append('view.beat_ratio: at most 0.34, so that two beats may be lost')
     if s.call.hold_ms > s.call.max_hold_ms:
         bad.append('call.hold_ms: at most max_hold_ms, or minions cut it short')
+    bad += [f'call.without: {name!r} is no mechanism' for name in unknown(s.call.without)]
     if s.log_level not in ('debug', 'info', 'warning', 'error'):
         bad.append('log_level: one of debug, info, warning, error')
     return bad
