--- a/asterwharf/sim/node_faults.py
+++ b/asterwharf/sim/node_faults.py
@@ -20,6 +20,17 @@
     counted(day, hit)
 
 
+def reset_conns(day):
+    """Some machines, of the core too, have half of their connections reset at one moment."""
+    f = day.fleet
+    mark(day, 'reset_conns', 0)
+    for n in part(day, 0.33, f.core + f.edges):
+        f.sight.event(n)
+        conns = f.w.of(n)
+        for c in day.rng.sample(conns, len(conns) // 2):
+            f.w._break(c)
+
+
 def edge_kill(day):
     f = day.fleet
     span = ms(day, 300, 4000)
--- a/asterwharf/sim/site_model.py
+++ b/asterwharf/sim/site_model.py
@@ -29,7 +29,7 @@
     status_ms: int = 120000
     checkpoint_ms: int = 1000
     restore_ms: int = 100
-    far_factor: int = 3
+    far_factor: float = 3
 
     @property
     def gang_ms(self):
@@ -108,7 +108,7 @@
 
 @dataclass(frozen=True)
 class Site:
-    """A deployment; `edges` and `core` give machines by zone."""
+    """A deployment; `edges` and `core` give machines by zone, `survive` how many of the core may be lost at once."""
 
     name: str
     edges: tuple
@@ -118,3 +118,4 @@
     bounds: Bounds
     zones: tuple = ('z1', 'z2', 'z3')
     idle: int = 8
+    survive: int = 1
--- a/asterwharf/sim/yard_faults.py
+++ b/asterwharf/sim/yard_faults.py
@@ -29,6 +29,7 @@
     node_freeze,
     node_kill,
     replace_core,
+    reset_conns,
     roll_term,
 )
 
@@ -69,6 +70,7 @@
         core_cut,
         node_cut,
         replace_core,
+        reset_conns,
         clock_step,
         srv_crash,
         flap,
--- a/asterwharf/sim/yard_figures.py
+++ b/asterwharf/sim/yard_figures.py
@@ -81,6 +81,11 @@
     return earned / owed
 
 
+def sound_stopped(day):
+    """Share of the runs on sound minions that were stopped by the scheduler, though their jobs went on."""
+    return round(day.fleet.obs.sound_stopped / max(1, day.fleet.obs.sound_runs), 4)
+
+
 def numbers(day):
     f = day.fleet
     c, w = f.obs.count, f.w
@@ -96,6 +101,7 @@
         'delay_ms': round(mean(f.obs.delays)),
         'delay_p95': top(f.obs.delays, 0.95),
         'ends': {k: c[k] for k in ('done', 'failed', 'stopped', 'lapsed', 'broken', 'alone', 'crash') if c[k]},
+        'sound_stopped': sound_stopped(day),
         'turned_away': c['turned_away'],
         'wasted_core_s': round(sum(f.obs.waste.values())),
         'beats': c['beats'],
--- a/asterwharf/sim/yard_minion.py
+++ b/asterwharf/sim/yard_minion.py
@@ -84,6 +84,11 @@
     def rate(self):
         return 0.0 if self.hang else self.speed / self.slow
 
+    @property
+    def sound(self):
+        """Whether it works as it should, at its own speed, and stays."""
+        return self.slow == 1.0 and not self.hang and not self.errors and self.state == 'ready'
+
     def set(self, **kws):
         """A trouble begins or ends: slow, hang, errors."""
         for k, v in kws.items():
--- a/asterwharf/sim/yard_observer.py
+++ b/asterwharf/sim/yard_observer.py
@@ -48,6 +48,8 @@
         self.drains, self.zones, self.minions, self.jumps = {}, {}, {}, False
         self.room = Room(self)
         self.delays, self.waste, self.idle = [], Counter(), set()
+        # runs that began on a sound minion, and those of them that were stopped though nobody had cancelled their job
+        self.sound_runs = self.sound_stopped = 0
         # troubles that wait for a moment: functions of what was just told, and by which node
         self.taps = []
         # starts told that no minion has taken up: job -> {(task, run): (minion, node, when, until when held)}
@@ -265,6 +267,9 @@
         tld = self.jobs[j.id]
         self.on[r.minion.id].pop(r, None)
         tld.live -= 1
+        if r.minion.sound:
+            self.sound_runs += 1
+            self.sound_stopped += how == 'stopped' and tld.cancel is None and not j.poison and not r.spec.get('lasts')
         if how == 'done':
             gang = r.spec.get('together')
             if gang:
