Tell slow minions by all of their runs; a large task is no slow minion

Cause: a run three times as long as its peers was stopped as crawling and its minion blamed. A minion is slow where its runs, ended ones too, take longer than those of the same steps elsewhere by more than chance explains (how much a queue's runs differ, and how wrong its estimates are, is learned from whole steps), or where its runs lose pace. A run is moved where it would be done much sooner elsewhere and there is room. A run that stands still beside others that go on, or in a gang, is given four times as long. late_jobs.py logs for each late job in which phase its time went. An invariant's false alarm mended: a step that a decision has just placed was counted as waiting beside idle room.

--- a/asterwharf/orchard/guarantees.py
+++ b/asterwharf/orchard/guarantees.py
@@ -5,6 +5,8 @@
 has waited for its queue's aim; there is nothing to take from anyone while there is room.
 """
 
+from asterwharf.base.mechanisms import Mechanism
+
 # of a group's room: what each priority may use before more urgent work is placed, and what all of them may together
 SHARE, ALL_SHARES = 0.2, 0.4
 NOTHING = (0, 0, 0)
@@ -29,6 +31,8 @@
     def entitled(self, steps):
         """Those of the steps, in their order, that have waited for their aim behind more urgent work of their group."""
         self._most_urgent = {}
+        if self.placer.b.without(Mechanism.GUARANTEES):
+            return []
         for step in steps:
             self._most_urgent.setdefault(step.job.group, step.job.prio)
         return [
@@ -61,6 +65,8 @@
 
     def protects(self, task, urgent):
         """Whether a run stands in its priority's share, where the more urgent step `urgent` may not push it out."""
+        if self.placer.b.without(Mechanism.GUARANTEES):
+            return False
         job = task.step.job
         return all(have >= 0 for have in self._left(job.group, job.prio, urgent.job.prio))
 
--- /dev/null
+++ b/asterwharf/orchard/late_jobs.py
@@ -0,0 +1,142 @@
+"""Where the time of late jobs went, told in one log line a job by the leader that saw it end. Pure."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from asterwharf.base.board import Controller
+
+# phases of a job's time; runs that came to nothing are `lost.REASON`, waits for a start `wait.REASON`
+EARLIER_LEADER = 'earlier_leader'  # before this leader began: it can't tell
+WAIT, LOST, WORK = 'wait', 'lost', 'work'
+UNSEEN = 'short'  # a wait that no sample fell into
+# jobs that are followed at once, at most
+FOLLOWED = 20000
+
+
+@dataclass(slots=True)
+class Run:
+    """One run of a task: wall-clock ms, and how it ended ('' while it goes on)."""
+
+    start_ms: int
+    end_ms: int = 0
+    how: str = ''
+
+
+@dataclass(slots=True)
+class Trace:
+    """What is known of a job under way: task key -> its runs, step -> when it opened, step -> ms waited by reason."""
+
+    runs: dict = field(default_factory=dict)
+    opened: dict = field(default_factory=dict)
+    waits: dict = field(default_factory=dict)
+
+
+class LateJobs(Controller):
+    """Follows the runs of open jobs; at the leader only."""
+
+    __slots__ = ('_begun', '_stops', '_traces', 'cell', 'placer', 'tender')
+
+    def __init__(self, board, cell, tender, placer):
+        super().__init__(board)
+        self.cell, self.tender, self.placer = cell, tender, placer
+        # job -> Trace; (task, run) -> why it was stopped; when this leader began, wall-clock ms, or None
+        self._traces, self._stops, self._begun = {}, {}, None
+
+    def stopped(self, task, why):
+        """A run is being stopped for a reason of the scheduler's own."""
+        self._stops[task.key, task.run] = why
+
+    def waited(self, step, reason, wait_ms):
+        """A step was seen waiting for a start."""
+        trace = self._trace(step.job)
+        if trace is not None:
+            trace.waits.setdefault((step.k, step.n), Counter())[reason] += wait_ms
+
+    def flush(self):
+        machine = self.cell.mac
+        events, machine.events = machine.events, []
+        if self.tender.term < 0:
+            self._begun, self._traces, self._stops = None, {}, {}
+            return
+        if self._begun is None:
+            self._begun = self.cell.wall
+        for event in events:
+            self._take(event)
+
+    def _trace(self, job):
+        if job.times or job.id not in self._traces and len(self._traces) >= FOLLOWED:
+            return None
+        return self._traces.setdefault(job.id, Trace())
+
+    def _take(self, event):
+        task, now = event.task, self.cell.wall
+        step, job = task.step, task.step.job
+        trace = None if step.lasts else self._trace(job)
+        if trace is None:
+            return
+        runs = trace.runs.setdefault(task.key, {})
+        if event.how == 'start':
+            runs[event.run] = Run(now)
+            return
+        run = runs.setdefault(event.run, Run(self._begun))
+        why = self._stops.pop((task.key, event.run), '')
+        run.end_ms, run.how = now, why if event.how == 'stopped' and why else event.how
+        if not step.left:
+            for later in job.live.get(step.k, ()):
+                if step.n in later.after:
+                    trace.opened[later.k, later.n] = now
+        if job.fate:
+            self._over(job, trace)
+
+    def _over(self, job, trace):
+        del self._traces[job.id]
+        if job.fate != 'finished':
+            return
+        took, aim = self.cell.wall - job.at, self.placer.urgency.aim_ms(job)
+        if took <= aim:
+            return
+        self.b.count[f'late_jobs.{job.queue}'] += 1
+        phases = self._phases(job, trace)
+        self.b.log(
+            'info',
+            'job late',
+            job=job.id,
+            queue=job.queue,
+            took_ms=took,
+            aim_ms=round(aim),
+            steps=len(job.spec),
+            tasks=sum(step.get('count') or 1 for step in job.spec),
+            phases={name: ms for name, ms in sorted(phases.items()) if ms > 0},
+        )
+
+    def _phases(self, job, trace):
+        """{phase: ms} along the chain of tasks that the job's end waited for."""
+        last = {}
+        for key, runs in trace.runs.items():
+            number = int(key.split('.')[2])
+            end = max(run.end_ms for run in runs.values())
+            if end > last.get(number, (0, ''))[0]:
+                last[number] = end, key
+        phases, number = Counter(), max(last, key=last.get) if last else None
+        while number is not None:
+            end, key = last[number]
+            opened = trace.opened.get((0, number), job.at)
+            self._task_phases(phases, trace, number, key, opened)
+            before = [other for other in job.spec[number].get('after') or () if other in last]
+            number = max(before, key=last.get) if before else None
+        return phases
+
+    def _task_phases(self, phases, trace, number, key, opened):
+        """Adds up the time of one task, from when its step opened to its end."""
+        at = opened
+        if at < self._begun:
+            phases[EARLIER_LEADER] += self._begun - at
+            at = self._begun
+        waits = trace.waits.get((0, number), Counter())
+        reason = max(waits, key=waits.get) if waits else UNSEEN
+        for run in sorted(trace.runs[key].values(), key=lambda run: run.start_ms):
+            if run.start_ms > at:
+                phases[f'{WAIT}.{reason}'] += run.start_ms - at
+            name = WORK if run.how == 'done' else f'{LOST}.{run.how}'
+            phases[name] += max(0, run.end_ms - max(at, run.start_ms))
+            at = max(at, run.end_ms)
--- a/asterwharf/orchard/model.py
+++ b/asterwharf/orchard/model.py
@@ -1,5 +1,7 @@
 """Jobs, steps and tasks of the cell whose minions call in. Pure; plain slots, since starts are counted in hundreds a second."""
 
+from dataclasses import dataclass
+
 WAIT, READY, RUN, DONE, FAILED, CANCELLED = range(6)
 NAMES = ('waiting', 'ready', 'running', 'done', 'failed', 'cancelled')
 FINAL = frozenset((DONE, FAILED, CANCELLED))
@@ -51,6 +53,15 @@
         self.stop, self.lapsed, self.spare, self.top = bool(r[5]), tuple(r[6]), tuple(r[7]) or None, r[8]
 
 
+@dataclass(frozen=True, slots=True)
+class RunEvent:
+    """A run began (`how` is 'start') or is over: told to the leader, not kept."""
+
+    task: Task
+    run: int
+    how: str
+
+
 class Step:
     """One step of one time of a job: tasks alike, and what they wait for."""
 
--- a/asterwharf/orchard/mover.py
+++ b/asterwharf/orchard/mover.py
@@ -4,6 +4,7 @@
 """
 
 from asterwharf.base.board import Controller
+from asterwharf.base.mechanisms import Mechanism
 
 # of the silence bound: how often it looks
 LOOK = 0.2
@@ -15,15 +16,18 @@
 KEPT = 4000
 # a run is moved where it would take so many times longer to let it be
 GAIN = 1.5
+# so many times as long a run may stand still where others on its minion go on, or where it is a gang's
+DOUBTFUL = 4
 
 
 class Mover(Controller):
     """At the holder of the cell."""
 
-    __slots__ = ('cell', 'due', 'health', 'placer', 'pushed', 'tender')
+    __slots__ = ('cell', 'due', 'health', 'late_jobs', 'placer', 'pushed', 'tender')
 
-    def __init__(self, b, cell, tender, health, placer):
+    def __init__(self, b, cell, tender, health, placer, late_jobs):
         super().__init__(b)
+        self.late_jobs = late_jobs
         self.cell, self.tender, self.health, self.placer, self.due = cell, tender, health, placer, 0
         # task -> how often it was pushed out: the same one does not make room for everybody
         self.pushed = {}
@@ -38,25 +42,29 @@
             return
         self.due = b.now + int(b.set.view.silence_ms * LOOK)
         stops = {}
-        for mid, l in self.tender.links.items():
+        staying = []
+        for l in self.tender.links.values():
             if l.prog:
                 gone = self._gone(l)
-                self._judge(l, stops) if gone is None else self._leave(l, stops, gone)
-        self._push(stops)
+                staying.append(l) if gone is None else self._leave(l, stops, gone)
+        self._judge(self.health.pace.observe(staying, self._mine), stops)
+        if not self.b.without(Mechanism.EVICTION):
+            self._push(stops)
         if stops:
             self.cell.order(
                 'y_stop', {'at': self.cell.wall, 'items': [{'task': k, 'run': r} for k, r in stops.items()]}
             )
 
-    def _stop(self, t, stops, why):
+    def _stop(self, t, stops, why, **evidence):
         """A gang goes as one: its other members would only wait."""
         if t.key in stops:
             return
         for o in t.step.tasks if t.step.together else (t,):
             if o.mid and not o.stop:
                 stops[o.key] = o.run
+                self.late_jobs.stopped(o, why)
         self.b.count[f'moved.{why}'] += 1
-        self.b.log('info', 'moved', task=t.key, minion=t.mid, why=why)
+        self.b.log('info', 'moved', task=t.key, minion=t.mid, why=why, **evidence)
 
     def _mine(self, l):
         """The runs that a minion has in hand and that are not being stopped: (task, progress)."""
@@ -75,6 +83,8 @@
     def _leave(self, l, stops, gone):
         """What can't end before the minion is gone goes now, with its checkpoint."""
         b = self.b
+        if b.without(Mechanism.LEAVING):
+            return
         for t, p in self._mine(l):
             left = self.health.left(p)
             if left is None:
@@ -83,29 +93,67 @@
             if t.step.lasts or max(0, left) > gone - b.now - b.set.call.stop_grace_ms:
                 self._stop(t, stops, 'leaving')
 
-    def _judge(self, l, stops):
-        """Runs that stand still or crawl."""
-        h, bad = self.health, 0
-        for t, p in self._mine(l):
-            if h.still(t, p, l):
-                # a gang stands still as one: which member holds it up, only other runs tell
-                if not t.step.together:
-                    bad += 1
-                    h.where.setdefault(t.key, set()).add(l.mid)
-                h.moved(t, p)
-                self._stop(t, stops, 'still')
-                continue
-            fair = h.crawls(t, p, l)
-            if fair is None:
+    # --- minions that stall or have turned slow
+    def _judge(self, observations, stops):
+        """Moves runs from minions that stand still or have turned slow, where they would be done sooner elsewhere."""
+        health = self.health
+        self._stalled(observations, stops)
+        if self.b.without(Mechanism.PACE):
+            return
+        health.slow = health.pace.slow(observations)
+        for minion_id, slowness in health.slow.items():
+            health.suspect(minion_id, slowness.why, factor=round(slowness.factor, 1), runs=slowness.runs)
+        for seen in observations:
+            slowness = health.slow.get(seen.link.mid)
+            if slowness is not None and not seen.task.step.together and self._pays(seen, slowness):
+                health.shun(seen.task, seen.link.mid)
+                health.pace.moved(seen)
+                self._stop(seen.task, stops, 'slow_minion', factor=round(slowness.factor, 1), runs=slowness.runs)
+
+    def _stalled(self, observations, stops):
+        """Moves runs that stand still; where no fault of their minion is to be seen, much later than others."""
+        health, going = self.health, set()
+        for seen in observations:
+            if seen.progress[3] > seen.progress[1] and not health.still(seen.task, seen.progress, seen.link):
+                going.add(seen.link.mid)
+        for seen in observations:
+            task, minion_id = seen.task, seen.link.mid
+            # a gang stands still as one: which member holds it up, only other runs tell
+            doubtful = task.step.together or minion_id in going
+            if not health.still(task, seen.progress, seen.link, DOUBTFUL if doubtful else 1):
                 continue
-            bad += not t.step.together
-            left, todo = h.left(p), fair * ((100 - p[3]) / 100 if t.step.saves else 1)
-            if left is not None and left > (todo + self.b.set.call.restore_ms + self.b.set.call.stop_grace_ms) * GAIN:
-                h.where.setdefault(t.key, set()).add(l.mid)
-                h.moved(t, p)
-                self._stop(t, stops, 'crawling')
-        if bad:
-            h.suspect(l.mid, 'its runs crawl or stand still')
+            if not doubtful:
+                health.suspect(minion_id, 'its runs stand still')
+            if not task.step.together:
+                health.shun(task, minion_id)
+            health.stopped(task)
+            self._stop(task, stops, 'still')
+
+    def _pays(self, seen, slowness):
+        """Whether a run on a slow minion would be done much sooner elsewhere, with what it has saved."""
+        sound, percent, step = self.health.pace.sound_ms(seen, slowness), seen.progress[3], seen.task.step
+        if sound is None or not self._elsewhere(step, seen.link.mid):
+            return False
+        left = sound * slowness.factor * (100 - percent) / 100
+        again = sound * ((100 - percent) / 100 if step.saves else 1)
+        call = self.b.set.call
+        return left > (again + call.restore_ms * step.saves + call.stop_grace_ms) * GAIN
+
+    def _elsewhere(self, step, minion_id):
+        """Whether a minion that is not suspected has room for a task of the step."""
+        links, used, slow = self.tender.links, self.mac.used, self.health.until
+        return any(
+            mid != minion_id
+            and link.group == step.job.group
+            and mid not in slow
+            and (not step.label or step.label in link.labels)
+            and self.tender.open(link)
+            and all(
+                need <= size - taken
+                for need, size, taken in zip(step.need, link.room, used.get(mid, (0, 0, 0)), strict=True)
+            )
+            for mid, link in links.items()
+        )
 
     # --- urgent work
     def _push(self, stops):
--- a/asterwharf/orchard/node.py
+++ b/asterwharf/orchard/node.py
@@ -5,6 +5,7 @@
 from asterwharf.mend.mender import Mender
 from asterwharf.orchard.gate import Gate
 from asterwharf.orchard.health import Health
+from asterwharf.orchard.late_jobs import LateJobs
 from asterwharf.orchard.mover import Mover
 from asterwharf.orchard.placer import Placer
 from asterwharf.orchard.tender import Tender
@@ -29,7 +30,9 @@
         hlt = Health(b, self.member, self.tender)
         self.placer = Placer(b, self.member, self.tender, hlt)
         # ends are learned from before places are given, places are given before beats are answered
-        self.all = self.member, hlt, self.placer, self.tender, Mover(b, self.member, self.tender, hlt, self.placer)
+        late = self.placer.wait_reasons.late_jobs = LateJobs(b, self.member, self.tender, self.placer)
+        mover = Mover(b, self.member, self.tender, hlt, self.placer, late)
+        self.all = self.member, hlt, late, self.placer, self.tender, mover
 
 
 def control(st, inc, rng, load, now, wall, proto=PROTO):
--- a/asterwharf/orchard/placer.py
+++ b/asterwharf/orchard/placer.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 from asterwharf.base.board import Controller
+from asterwharf.base.mechanisms import Mechanism
 from asterwharf.orchard.guarantees import Guarantees
 from asterwharf.orchard.minion_link import REGISTERED, REGISTERING
 from asterwharf.orchard.model import READY
@@ -31,6 +32,7 @@
         'judge',
         'placed',
         'reservations',
+        'satisfied',
         'stale',
         'tender',
         'term',
@@ -44,10 +46,11 @@
         self.busy, self.due, self.term, self.stale = False, 0, -1, True
         # step -> when it was first looked at with something to place
         self.first = {}
-        # tasks that the decision under way has placed -> minions
-        self.placed = {}
+        # of the decision under way: tasks that it has placed -> minions, and steps of which nothing is left to place
+        self.placed, self.satisfied = {}, set()
         self.reservations = Reservations(self)
-        self.urgency, self.guarantees = Urgency(self.room_of), Guarantees(self)
+        self.urgency = Urgency(self.room_of, judges=not b.without(Mechanism.LATENESS))
+        self.guarantees = Guarantees(self)
         self.wait_reasons = WaitReasons(b, self)
 
     @property
@@ -74,7 +77,9 @@
             self.cell.order('y_due', {'items': items, 'at': at})
 
     def flush(self):
-        if self.term < 0 or self.busy or not self.mac.ready or not self.cell.takes:
+        if self.term < 0 or self.busy or not self.cell.takes:
+            return
+        if not self.mac.ready:
             return
         if not (self.stale or self.mac.changed or self.tender.look):
             return
@@ -119,7 +124,7 @@
         rooms = Rooms(self)
         self.reservations.begin(rooms)
         self.guarantees.begin()
-        self.placed = {}
+        self.placed, self.satisfied = {}, set()
         steps = self._order()
         out += self._guaranteed(steps, rooms)
         n, early = len(out), Counter(task.rpartition('.')[0] for task in self.placed)
@@ -149,6 +154,8 @@
             if m + early[f'{s.job.id}.{s.k}.{s.n}'] < s.ready:
                 full.add(key)
                 self.reservations.consider(s, rooms, waited)
+            else:
+                self.satisfied.add((s.job.id, s.k, s.n))
         rooms.truncated = n >= MOST
         self.wait_reasons.sample(rooms)
         # policies still have cases to judge
@@ -178,7 +185,7 @@
         out, ok = [], rooms.fit(s, waited)
         if not ok:
             return out
-        on = self._spread(s) if s.apart else {}
+        on = self.spread(s) if s.apart else {}
         for t in s.tasks:
             if t.state != READY or t.key in self.placed:
                 continue
@@ -195,7 +202,8 @@
             out.append({'items': [{'task': t.key, 'run': t.top + 1, 'mid': r.mid}]})
         return out
 
-    def _spread(self, s):
+    def spread(self, s):
+        """minion -> how many tasks of a step it has, or is to have."""
         on = {}
         for t in s.tasks:
             for mid in (t.mid, t.spare[1] if t.spare else '', self.placed.get(t.key, '')):
--- a/asterwharf/orchard/reservations.py
+++ b/asterwharf/orchard/reservations.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass
 
+from asterwharf.base.mechanisms import Mechanism
 from asterwharf.orchard.minion_link import REGISTERED, REGISTERING
 
 # of the silence bound: how long a step that needs much room has waited until room is reserved for it, and how long a
@@ -193,6 +194,8 @@
     # --- a plan
     def consider(self, step, rooms, waited_ms):
         """Reserves room for a step that has found none: one planned reservation a group and priority at a time."""
+        if self.board.without(Mechanism.RESERVATIONS):
+            return
         if self._plans_left <= 0 or waited_ms < self.board.set.view.silence_ms * PATIENCE or self.of(step):
             return
         if any(
--- a/asterwharf/orchard/rooms.py
+++ b/asterwharf/orchard/rooms.py
@@ -1,5 +1,6 @@
 """The room that minions have while a decision is made, and which of it a step may take. Pure."""
 
+from asterwharf.base.mechanisms import Mechanism
 from asterwharf.orchard.tender import REGISTERED, REGISTERING
 
 # of the silence bound: the longest that work waits for the rack that suits it
@@ -87,6 +88,8 @@
 
         Work that was started before has stood still already while its run was given up: it waits half as long.
         """
+        if self.b.without(Mechanism.RACK_PATIENCE):
+            return 0
         most = self.patience / 2 if any(t.top for t in s.tasks) else self.patience
         return min(most, s.estimate * (self.b.set.call.far_factor - 1))
 
--- a/asterwharf/orchard/urgency.py
+++ b/asterwharf/orchard/urgency.py
@@ -41,8 +41,9 @@
 class Urgency:
     """Sorts the steps of each decision."""
 
-    def __init__(self, room_of):
-        """`room_of(group)` gives (cpu, memory, GPUs) of a group's minions together."""
+    def __init__(self, room_of, judges=True):
+        """`room_of(group)` gives (cpu, memory, GPUs) of a group's minions together; unless it `judges`, nothing is late."""
+        self._judges = judges
         self._room_of, self._wall_ms, self._now = room_of, 0, 0
         # group -> its room and until when that is taken as known; (job, step) -> (aim, chain from that step on), ms
         self._rooms, self._known = {}, {}
@@ -61,7 +62,7 @@
     def lateness(self, step):
         """Whether a job can still be in time, if the step starts now and all goes by its estimates."""
         job = step.job
-        if step.lasts:
+        if step.lasts or not self._judges:
             return Lateness.IN_TIME
         aim_ms, chain = self._times(job, step.n)
         ends_after = self._wall_ms - (job.due(step.k) or job.at) + chain
@@ -69,6 +70,10 @@
             return Lateness.IN_TIME
         return Lateness.LATE if ends_after <= aim_ms * LATE else Lateness.TOO_LATE
 
+    def aim_ms(self, job):
+        """How long a job may take to be in time, by its estimates, ms."""
+        return self._times(job, 0)[0]
+
     def _times(self, job, step_number):
         """(aim, longest chain of work from a step on), ms."""
         room = self._room(job.group)
--- a/asterwharf/orchard/wait_reasons.py
+++ b/asterwharf/orchard/wait_reasons.py
@@ -20,11 +20,12 @@
 class WaitReasons(Controller):
     """Samples what a placement decision has left over."""
 
-    __slots__ = ('_last_report', '_last_sample', '_late', 'placer')
+    __slots__ = ('_last_report', '_last_sample', '_late', 'late_jobs', 'placer')
 
     def __init__(self, board, placer):
         super().__init__(board)
-        self.placer = placer
+        # late_jobs: told of each wait that is seen, where there is one
+        self.placer, self.late_jobs = placer, None
         self._last_sample = self._last_report = board.now
         # queue -> [steps that wait longer than their aim, longest wait in ms, {reason: steps}, its group]
         self._late = {}
@@ -40,7 +41,9 @@
             return
         self._last_sample = now
         self._late, known = {}, {}
-        for step in self.placer.mac.ready.values():
+        for name, step in self.placer.mac.ready.items():
+            if name in self.placer.satisfied:
+                continue
             key = (step.job.group, step.need, step.label, step.near, step.together and len(step.tasks))
             if key not in known:
                 known[key] = self.reason(step, rooms)
@@ -54,6 +57,8 @@
     def _note(self, step, reason, wait_ms):
         queue = step.job.queue
         self.b.count[f'waited_ms.{queue}.{reason}'] += wait_ms
+        if self.late_jobs is not None:
+            self.late_jobs.waited(step, reason, wait_ms)
         waited = self.placer.waited(step)
         if waited <= step.job.aim:
             return
--- a/asterwharf/orchard/yard.py
+++ b/asterwharf/orchard/yard.py
@@ -2,7 +2,7 @@
 
 from asterwharf.orchard import kinds  # noqa: F401
 from asterwharf.orchard.drains import DRAIN, Drains
-from asterwharf.orchard.model import CANCELLED, DONE, FAILED, FINAL, READY, RUN, STEPS, WAIT, Job, Step, build
+from asterwharf.orchard.model import CANCELLED, DONE, FAILED, FINAL, READY, RUN, STEPS, WAIT, Job, RunEvent, Step, build
 from asterwharf.wire.schema import PROTO, pack, unpack
 
 ROW = 'r_yard'
@@ -15,6 +15,7 @@
         'changed',
         'dirty',
         'ended',
+        'events',
         'floor',
         'jobs',
         'on',
@@ -35,8 +36,8 @@
         self.jobs, self.dirty, self.timed, self.open, self.waiting = {}, set(), {}, 0, {}
         # on: minion -> the runs it may hold, used: the room they take; ready: steps with something to place
         self.on, self.used, self.ready = {}, {}, {}
-        # for the holder, not kept: minions whose runs have changed, and how runs have ended
-        self.changed, self.ended = set(), []
+        # for the holder, not kept: minions whose runs have changed, how runs have ended, and what became of runs
+        self.changed, self.ended, self.events = set(), [], []
         self.undrained()
         for raw in rows.values():
             knd, d = unpack(raw, self.reads)
@@ -260,6 +261,7 @@
                     t.run, t.mid, t.stop = r, mid, False
                     self.move(t, RUN)
                 t.top = r
+                self.events.append(RunEvent(t, r, 'start'))
                 self._hold(t, mid)
                 self._begin(t.step.job)
                 out.append(t.key)
@@ -310,7 +312,7 @@
             self._keep(t, i['save'])
             if i['how'] == 'lapsed':
                 t.lapsed = (t.lapsed + (i['run'],))[-8:]
-            self._drop(t, i['mid'], i['run'], d['at'])
+            self._drop(t, i['mid'], i['run'], d['at'], i['how'])
         return True
 
     def _keep(self, t, save):
@@ -320,8 +322,9 @@
                 o.save = save
             self.dirty.add(t.step.job.id)
 
-    def _drop(self, t, mid, run, at):
+    def _drop(self, t, mid, run, at, how):
         """A run is over without deciding anything: its task may be started again."""
+        self.events.append(RunEvent(t, run, how))
         self._let(t, mid)
         self.dirty.add(t.step.job.id)
         if t.spare and t.spare == (run, mid):
@@ -345,21 +348,21 @@
             t.lapsed = tuple(r for r in t.lapsed if r != run)
             self.dirty.add(s.job.id)
         if how == 'done' and not s.lasts:
-            return self._done(t, at) if t.state not in FINAL else self._gone(t, mid, cur, at)
+            return self._done(t, at, run) if t.state not in FINAL else self._gone(t, mid, cur, at)
         if how == 'failed' and not s.lasts and t.state not in FINAL:
             self._failed(t, mid, run, cur, at)
             return
         if cur:
             self._keep(t, save)
-            self._drop(t, mid, run, at)
+            self._drop(t, mid, run, at, how)
 
     def _gone(self, t, mid, cur, at):
         if cur:
             self._let(t, mid)
             self._over(t.step.job, at)
 
-    def _done(self, t, at):
-        """A task has ended done; a gang's members end so together, and one stands for all."""
+    def _done(self, t, at, run):
+        """A task has ended done by its run `run`; a gang's members end so together, and one stands for all."""
         s = t.step
         for o in s.tasks if s.together else (t,):
             if o.state == RUN:
@@ -371,6 +374,7 @@
             if o.state in (RUN, READY):
                 o.mid, o.stop = '', False
                 self.move(o, DONE)
+                self.events.append(RunEvent(o, run, 'done'))
         self._look(s)
         if not s.left and not s.job.fate:
             self._step_done(s)
@@ -385,7 +389,7 @@
         t.fails += 1
         spent = (s.fails if s.together else t.fails) >= j.tries
         if cur:
-            self._drop(t, mid, run, at)
+            self._drop(t, mid, run, at, 'failed')
         self.dirty.add(j.id)
         if spent and not j.fate:
             if t.state == READY:
--- a/tests/test_wait_reasons.py
+++ b/tests/test_wait_reasons.py
@@ -69,3 +69,18 @@
     assert late[-1]['group_in_use'] == 1.0 and late[-1]['longest_ms'] > 2000
     # once in a while, not at each decision
     assert len(late) <= 3
+
+
+def test_a_step_that_is_placed_at_last_is_no_step_that_waits():
+    cell = Cell(QUEUES)
+    cell.minion('m1')
+    cell.submit(A, steps=[{'count': 1, 'cpu': 4000, **LONG}])
+    cell.go(300)
+    cell.submit(B, steps=[{'count': 1, 'cpu': 1000, **LONG}])
+    cell.go(4000)
+    # the next decision finds room for what has waited long, and looks at it before its start is delivered
+    cell.placer.wait_reasons._last_sample = 0
+    cell.minions['m1'].end(f'{A}.0.0.0')
+    cell.go(1000)
+    assert cell.on('m1') == [f'{B}.0.0.0']
+    assert not cell.b.count['violated.idle_room'] and not waited(cell, 'rack')
