Start work that may be repeated again while its minion is silent

Cause: what ran on a minion that crashed or is cut off waits until its hold is over (5.6 s there), too late for most aims. Work that may be repeated need not wait; nothing started it. Ruled out: copying on any silence (where over a third of a group is silent the fault is likely this side's), or for minions that this leader has not heard. Change: orchard/copies.py, after all else has been placed, in room that nobody wants.

--- a/asterwharf/orchard/placer.py
+++ b/asterwharf/orchard/placer.py
@@ -4,6 +4,7 @@
 
 from asterwharf.base.board import Controller
 from asterwharf.base.mechanisms import Mechanism
+from asterwharf.orchard.copies import Copies
 from asterwharf.orchard.guarantees import Guarantees
 from asterwharf.orchard.minion_link import REGISTERED, REGISTERING
 from asterwharf.orchard.model import READY
@@ -25,6 +26,7 @@
     __slots__ = (
         'busy',
         'cell',
+        'copies',
         'due',
         'first',
         'guarantees',
@@ -48,7 +50,7 @@
         self.first = {}
         # of the decision under way: tasks that it has placed -> minions, and steps of which nothing is left to place
         self.placed, self.satisfied = {}, set()
-        self.reservations = Reservations(self)
+        self.reservations, self.copies = Reservations(self), Copies(self)
         self.urgency = Urgency(self.room_of, judges=not b.without(Mechanism.LATENESS))
         self.guarantees = Guarantees(self)
         self.wait_reasons = WaitReasons(b, self)
@@ -79,9 +81,10 @@
     def flush(self):
         if self.term < 0 or self.busy or not self.cell.takes:
             return
-        if not self.mac.ready:
+        copies = self.copies.look()
+        if not (self.mac.ready or copies):
             return
-        if not (self.stale or self.mac.changed or self.tender.look):
+        if not (copies or self.stale or self.mac.changed or self.tender.look):
             return
         self.stale, self.due = False, self.b.now + int(self.b.set.view.silence_ms * AGAIN)
         bundles = self._decide()
@@ -156,6 +159,7 @@
                 self.reservations.consider(s, rooms, waited)
             else:
                 self.satisfied.add((s.job.id, s.k, s.n))
+        out += self.copies.bundles(rooms)
         rooms.truncated = n >= MOST
         self.wait_reasons.sample(rooms)
         # policies still have cases to judge
