--- a/asterwharf/sim/yard_clients.py
+++ b/asterwharf/sim/yard_clients.py
@@ -16,6 +16,10 @@
 TAKEN, NEVER = ('taken', 'same', 'ok'), ('no_holder', 'overload', 'tenant_full', NO_QUEUE, NO_CONFIG)
 
 
+# from here on the sizes of a step's tasks are drawn lognormally, with this as the spread of the logarithm
+VERY_UNEVEN = 0.5
+
+
 def draw(rng, mean, spread, most):
     """A lognormal draw with this mean, cut off."""
     if spread <= 0:
@@ -36,6 +40,13 @@
             by.setdefault(s.group, []).append(s)
         self.by = by
 
+    @staticmethod
+    def _size(uneven, rng):
+        """How large a task of a step is against the others: a few are many times as large where they are very uneven."""
+        if uneven > VERY_UNEVEN:
+            return math.exp(rng.gauss(0, uneven) - uneven * uneven / 2)
+        return 1 + uneven * (2 * rng.random() - 1)
+
     def make(self, kind, poison=False, queue=None):
         """(job, ms after which its client cancels it or 0)."""
         r, grp = self.rng or self.fleet.w.rng, self.by[kind.group]
@@ -46,7 +57,7 @@
             steps.append(self._step(kind, grp, s, r))
             mean = draw(r, kind.work_ms, kind.spread, kind.work_ms * 2.5)
             works.append(
-                [max(30, int(mean * (1 + kind.uneven * (2 * r.random() - 1)))) for _ in range(steps[-1]['count'])]
+                [max(30, int(mean * self._size(kind.uneven, r))) for _ in range(steps[-1]['count'])]
             )
             steps[-1]['estimate_ms'] = max(1, int(mean * math.exp(r.uniform(-1, 1) * kind.off)))
         spec = {'payload': f'{kind.name} {jid}', 'steps': steps}
--- a/bench/trials/late_jobs.py
+++ b/bench/trials/late_jobs.py
@@ -55,7 +55,9 @@
     for queue, one in sorted(late.items(), key=lambda item: -item[1].jobs):
         total = sum(one.phases.values()) or 1
         for name, ms in _shares(one.phases, total):
-            rows.append(f'| {queue} | {one.jobs} | {name} | {ms / 1000:.1f} | {ms / total:.2f} | {one.foremost[name]} |')
+            rows.append(
+                f'| {queue} | {one.jobs} | {name} | {ms / 1000:.1f} | {ms / total:.2f} | {one.foremost[name]} |'
+            )
     return '\n'.join(rows) + '\n'
 
 
