--- a/asterwharf/orchard/minion_link.py
+++ b/asterwharf/orchard/minion_link.py
@@ -1,5 +1,7 @@
 """What the leader knows of one minion that calls in: its link, its runs and how far they have come. Pure."""
 
+from typing import NamedTuple
+
 DISCONNECTED, REGISTERING, REGISTERED, RECOVERING, CLOSED = (
     'disconnected',
     'registering',
@@ -16,10 +18,26 @@
 }
 
 
-# percent of progress from where a run's end can be foretold
+# percent of progress from where a run's pace tells something, and its end can be foretold
 SEEN = 4
 
 
+class Progress(NamedTuple):
+    """How far a run has come, as its minion told: ms of the node's clock and percent, when first seen and at the last step seen."""
+
+    first_at: int
+    first_percent: int
+    last_at: int
+    last_percent: int
+    run: int
+
+    @property
+    def whole_ms(self):
+        """What a whole run would take at the pace seen, ms, or None where too little was seen."""
+        percent, took = self.last_percent - self.first_percent, self.last_at - self.first_at
+        return took / percent * 100 if percent >= SEEN and took > 0 else None
+
+
 class Link:
     """What the holder knows of one minion beyond what is delivered."""
 
@@ -66,14 +84,14 @@
         self.old, self.bound = {}, 0
 
     def progress(self, now):
-        """Follows how far each run has come, as (first seen, percent then, last step seen, percent then, run)."""
+        """Follows how far each run has come."""
         self.past = {k: p for k, p in self.prog.items() if k not in self.running}
         for k, (run, _, pct) in self.running.items():
             p = self.prog.get(k)
-            if p is None or p[4] != run:
-                self.prog[k] = (now, pct, now, pct, run)
-            elif pct != p[3]:
-                self.prog[k] = (p[0], p[1], now, pct, run)
+            if p is None or p.run != run:
+                self.prog[k] = Progress(now, pct, now, pct, run)
+            elif pct != p.last_percent:
+                self.prog[k] = p._replace(last_at=now, last_percent=pct)
         for k in self.past:
             del self.prog[k]
 
--- a/asterwharf/orchard/pace.py
+++ b/asterwharf/orchard/pace.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass
 from math import exp, log, sqrt
 
-# percent of progress from where a run's pace tells something
-SEEN = 4
+from asterwharf.orchard.minion_link import SEEN, Progress
+
 # a minion counts as slow from this factor on; a run's own pace counts as fallen from this factor on
 SLOW, BEND = 1.7, 2.5
 # standard errors that the evidence must be beyond chance
@@ -28,12 +28,6 @@
 PEERS = 32
 
 
-def whole_ms(progress):
-    """What a whole run would take at the pace seen, ms, or None where too little was seen."""
-    first_at, first, last_at, last, _ = progress
-    return (last_at - first_at) / (last - first) * 100 if last - first >= SEEN and last_at > first_at else None
-
-
 class Spread:
     """Mean and spread of natural logarithms that are seen one by one; the latest count a little more."""
 
@@ -72,10 +66,15 @@
 
     link: object
     task: object
-    progress: tuple
+    progress: Progress
     whole: float | None
     bend: float | None
 
+    @property
+    def has_moved(self):
+        """Whether any progress was seen."""
+        return self.progress.last_percent > self.progress.first_percent
+
 
 class PaceJudge:
     """Learns how long runs take, and judges minions by the pace of theirs."""
@@ -140,22 +139,22 @@
             for task, progress in runs_of(link):
                 if task.step.lasts:
                     continue
-                key = task.key, progress[4]
+                key = task.key, progress.run
                 marks = alive[key] = self._mark(key, progress, link.recv, span)
-                out.append(
-                    Observation(link, task, progress, whole_ms(progress), self._bend(marks, progress, link.recv))
-                )
+                out.append(Observation(link, task, progress, progress.whole_ms, self._bend(marks, progress, link.recv)))
         self._marks = alive
         return out
 
     def _mark(self, key, progress, now, span):
         """Notes how far a run is; what is older than the span is left out but for the newest of it."""
         marks = self._marks.get(key)
-        if marks is None or progress[3] < marks[-1][1]:
+        if marks is None or progress.last_percent < marks[-1][1]:
             # a run whose progress falls begins anew, as far as its pace goes
-            marks = deque([(progress[0], progress[1]) if marks is None else (now, progress[3])])
+            marks = deque(
+                [(progress.first_at, progress.first_percent) if marks is None else (now, progress.last_percent)]
+            )
         if now - marks[-1][0] >= span / 4:
-            marks.append((now, progress[3]))
+            marks.append((now, progress.last_percent))
         while len(marks) > 2 and now - marks[1][0] >= span:
             marks.popleft()
         return marks
@@ -163,12 +162,12 @@
     def _bend(self, marks, progress, now):
         """By what factor a run's pace has fallen at least, or None where too little was seen before."""
         at, percent = marks[0]
-        before = percent - progress[1]
-        if before < SEEN or at <= progress[0] or now - at < self.board.set.call.beat_ms * SPAN:
+        before = percent - progress.first_percent
+        if before < SEEN or at <= progress.first_at or now - at < self.board.set.call.beat_ms * SPAN:
             return None
-        earlier = (at - progress[0]) / before
+        earlier = (at - progress.first_at) / before
         # the next percent may be all but reached
-        present = (now - at) / (progress[3] - percent + 1)
+        present = (now - at) / (progress.last_percent - percent + 1)
         return present / earlier
 
     def slow(self, observations):
@@ -246,8 +245,8 @@
         """What a run would take whole on a sound minion, ms, or None where nothing tells."""
         if seen.bend is not None and seen.bend >= BEND:
             # its pace before it fell
-            at, percent = self._marks[seen.task.key, seen.progress[4]][0]
-            return (at - seen.progress[0]) / (percent - seen.progress[1]) * 100
+            at, percent = self._marks[seen.task.key, seen.progress.run][0]
+            return (at - seen.progress.first_at) / (percent - seen.progress.first_percent) * 100
         if seen.whole is not None:
             return seen.whole / slowness.factor
         return self.usual(seen.task.step) or self._expected(seen.task.step)
--- a/asterwharf/orchard/reservations.py
+++ b/asterwharf/orchard/reservations.py
@@ -292,9 +292,9 @@
         if task.step.lasts:
             return float('inf')
         progress = link.prog.get(task.key)
-        left = self.placer.health.left(progress) if progress else None
+        left = self.placer.health.left_ms(progress) if progress else None
         if left is None:
-            ran = self.board.now - progress[0] if progress else 0
+            ran = self.board.now - progress.first_at if progress else 0
             left = task.step.estimate - ran
         return max(float(left), 0.0)
 
--- a/asterwharf/orchard/views.py
+++ b/asterwharf/orchard/views.py
@@ -166,7 +166,7 @@
             'drained_by': by or ('minion' if l and l.drain else ''),
             'drained_at': since,
             'evict_at': until,
-            'suspect': mid in self.plot.placer.health.until,
+            'suspect': mid in self.plot.placer.health.suspected_until,
             'tasks': len(mac.on.get(mid, ())),
         }
         if l is None:
@@ -225,7 +225,7 @@
         """A run and the minion that may hold it; `since` (ms since 1970, 0 if unheard) is when this holder first heard it runs."""
         run, l = cell.mac.run_of(t, mid), self.links.get(mid)
         p = l.prog.get(t.key) if l else None
-        p = p if p and p[4] == run else None
+        p = p if p and p.run == run else None
         off = t.stop or bool(t.step.job.fate)
         return {
             'task': t.key,
@@ -234,8 +234,8 @@
             'minion': mid,
             'copy': run != t.run,
             'state': 'stopping' if off else 'running' if p else 'starting',
-            'since': cell.wall - (self.b.now - p[0]) if p else 0,
-            'percent': p[3] if p else 0,
+            'since': cell.wall - (self.b.now - p.first_at) if p else 0,
+            'percent': p.last_percent if p else 0,
         }
 
     def _runs(self, t):
--- a/tests/test_orchard_moves.py
+++ b/tests/test_orchard_moves.py
@@ -3,6 +3,8 @@
 import pytest
 from yard_cell import QUEUES, A, B, C, Cell
 
+from asterwharf.orchard.minion_link import Progress
+
 LONG = {'estimate_ms': 60000}
 
 
@@ -81,7 +83,9 @@
     cell.minions['m1'].rates[task] = 0
     cell.minion('m2').rates[task] = 20
     cell.go(3500)
-    assert where(cell, A)[task] == 'm2' and count(cell, 'moved.still') == 1 and 'm1' in cell.placer.health.until
+    assert (
+        where(cell, A)[task] == 'm2' and count(cell, 'moved.still') == 1 and 'm1' in cell.placer.health.suspected_until
+    )
 
 
 def test_silence_of_the_minion_is_no_standing_still():
@@ -201,7 +205,7 @@
     l = cell.tender.links['m1']
     l.running = {'x': (1, '', pct)}
     # a run of a second, seen from its beginning
-    l.prog = {'x': (cell.now - 10 * pct, 0, cell.now, pct, 1)}
+    l.prog = {'x': Progress(cell.now - 10 * pct, 0, cell.now, pct, 1)}
     wait = cell.tender._wait(l, cell.now)
     if want:
         assert wait == 120
@@ -212,14 +216,14 @@
 def test_an_overdue_run_is_not_asked_for_any_faster():
     cell = fleet('m1')
     l = cell.tender.links['m1']
-    l.running, l.prog = {'x': (1, '', 90)}, {'x': (cell.now - 5000, 0, cell.now - 3000, 90, 1)}
+    l.running, l.prog = {'x': (1, '', 90)}, {'x': Progress(cell.now - 5000, 0, cell.now - 3000, 90, 1)}
     assert cell.tender._wait(l, cell.now) == 120
 
 
 def test_however_many_minions_call_no_answer_comes_after_the_second_it_is_worth():
     cell = fleet('m1')
     l = cell.tender.links['m1']
-    l.running, l.prog = {'x': (1, '', 0)}, {'x': (cell.now, 0, cell.now, 0, 1)}
+    l.running, l.prog = {'x': (1, '', 0)}, {'x': Progress(cell.now, 0, cell.now, 0, 1)}
     cell.tender.links = dict.fromkeys(range(5000), l)
     assert cell.tender._wait(l, cell.now) == 700
 
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -62,7 +62,7 @@
     cell.minions['m2'].rates[large] = SOUND / 8
     cell.minion('m3')
     cell.go(3000)
-    assert not moved(cell) and where(cell, A)[large] == 'm2' and not cell.placer.health.until
+    assert not moved(cell) and where(cell, A)[large] == 'm2' and not cell.placer.health.suspected_until
 
 
 def test_a_large_task_alone_on_its_minion_is_no_sign_either():
@@ -73,7 +73,7 @@
     rate(cell, A, {name: SOUND / 4 if name == alone else SOUND for name in cell.minions})
     cell.minion('m3')
     cell.go(2500)
-    assert not moved(cell) and not cell.placer.health.until
+    assert not moved(cell) and not cell.placer.health.suspected_until
 
 
 def test_runs_are_moved_from_a_minion_on_which_all_take_longer():
@@ -84,7 +84,7 @@
     assert len(cell.on('m2')) == 4
     cell.minion('m3')
     cell.go(2500)
-    assert moved(cell) == 4 and not cell.on('m2') and 'm2' in cell.placer.health.until
+    assert moved(cell) == 4 and not cell.on('m2') and 'm2' in cell.placer.health.suspected_until
     evidence = next(fields for _, event, fields in cell.logged if event == 'moved')
     assert evidence['factor'] > 4 and evidence['runs'] == 4
     # an operator is told, too
@@ -127,7 +127,7 @@
     cell.go(100)
     rate(cell, A, {'m1': SOUND, 'm2': SOUND / 8})
     cell.go(2500)
-    assert not moved(cell) and len(cell.on('m2')) == 4 and 'm2' in cell.placer.health.until
+    assert not moved(cell) and len(cell.on('m2')) == 4 and 'm2' in cell.placer.health.suspected_until
 
 
 def test_what_is_nearly_done_is_let_be():
@@ -178,9 +178,9 @@
     cell.minions['m1'].rates.update({first: 0, second: 5})
     cell.minion('m2')
     cell.go(3000)
-    assert not cell.b.count['moved.still'] and not cell.placer.health.until
+    assert not cell.b.count['moved.still'] and not cell.placer.health.suspected_until
     cell.go(3500)
-    assert cell.b.count['moved.still'] == 1 and where(cell, A)[first] == 'm2' and not cell.placer.health.until
+    assert cell.b.count['moved.still'] == 1 and where(cell, A)[first] == 'm2' and not cell.placer.health.suspected_until
 
 
 def test_a_task_is_not_given_back_to_the_minion_that_was_slow():
--- a/tests/test_wait_reasons.py
+++ b/tests/test_wait_reasons.py
@@ -41,7 +41,8 @@
     cell.minion('m1')
     cell.submit(A, steps=[{'count': 1, 'cpu': 1000, **LONG}])
     cell.go(300)
-    cell.placer.health.bad['m1'] = 3
+    for _ in range(3):
+        cell.placer.health.failed('m1')
     cell.submit(B, steps=[{'count': 1, 'cpu': 1000, **LONG}])
     cell.go(1500)
     assert waited(cell, 'suspect') >= 700
