--- a/asterwharf/orchard/tender.py
+++ b/asterwharf/orchard/tender.py
@@ -5,11 +5,9 @@
 """
 
 import heapq
-from dataclasses import dataclass
-from typing import Callable
 
 from asterwharf.base.board import Controller
-from asterwharf.base.mechanisms import Mechanism
+from asterwharf.orchard.kept_beats import KeptBeats
 from asterwharf.orchard.minion_link import CLOSED, DISCONNECTED, RECOVERING, REGISTERED, REGISTERING, Link
 
 # a minion's clock may be slow by this much
@@ -25,19 +23,6 @@
 FRESH, OVERDUE, SILENT = 0.4, 0.5, 2.0
 # of the silence bound: how long after an answered beat was sent holds may still be given
 LEASE = 0.8
-# of the silence bound: from when on a leader that is not heard is likely lost; of the second that a beat is worth: how long one
-# waits for the next leader
-QUIET, KEPT = 0.4, 0.45
-
-
-@dataclass(frozen=True, slots=True)
-class KeptBeat:
-    """A beat that came while there was no leader: it is passed on as soon as there is one, or given back at `until`, ms."""
-
-    minion_id: str
-    document: dict
-    give: Callable
-    until: int
 
 
 class Tender(Controller):
@@ -47,7 +32,7 @@
 
     def __init__(self, b, cell):
         super().__init__(b)
-        self.cell, self.term, self.watch, self.kept = cell, -1, None, []
+        self.cell, self.term, self.watch, self.kept = cell, -1, None, KeptBeats(self)
         self._fresh()
 
     def _fresh(self):
@@ -64,8 +49,8 @@
     # --- the calls
     def beat(self, mid, d, give):
         """A minion's account of itself; `give(code, body)` answers it once, within the second it is worth."""
-        if not self._acts():
-            return self._keep(mid, d, give) if self._leaderless() else self._elsewhere(give)
+        if not self.acts():
+            return self.kept.keep(mid, d, give) if self.kept.leaderless() else self._elsewhere(give)
         b, now = self.b, self.b.now
         l = self.links.get(mid)
         if l is not None and l.state == CLOSED and self._left(l, d):
@@ -116,7 +101,7 @@
 
     def leave(self, mid, give):
         """The minion ends in good order: the link is closed on purpose."""
-        if not self._acts():
+        if not self.acts():
             return self._elsewhere(give)
         l = self.links.get(mid)
         if l is not None and l.state != CLOSED:
@@ -129,7 +114,8 @@
             self.b.count['left'] += 1
         return give('ok', {})
 
-    def _acts(self):
+    def acts(self):
+        """Whether this seat leads and may give holds now."""
         return self.cell.takes and self.term == self.cell.replica.view and self._leased()
 
     def _leased(self):
@@ -137,31 +123,6 @@
         s = self.cell.replica
         return s.leadership is not None and self.b.now - s.leadership.lease_start() < s.settings.silence_ms * LEASE
 
-    def _leaderless(self):
-        """Whether this seat has reason to think that there is no leader, or is about to be it."""
-        replica = self.cell.replica
-        if not replica.is_member or self.b.without(Mechanism.KEPT_BEATS):
-            return False
-        return self.cell.leads or self.b.now - replica.leader_heard > replica.settings.silence_ms * QUIET
-
-    def _keep(self, minion_id, document, give):
-        """A beat waits a moment for the next leader: sent to the lost one, it would be answered by nobody for a second."""
-        self.kept.append(KeptBeat(minion_id, document, give, self.b.now + int(1000 * KEPT)))
-
-    def _pass_on(self):
-        """Beats that have waited go to the leader that there is now, or back."""
-        found = self._acts() or not self._leaderless()
-        over = [beat for beat in self.kept if found or self.b.now >= beat.until]
-        if not over:
-            return
-        self.kept = [beat for beat in self.kept if not found and self.b.now < beat.until]
-        self.b.count['beats.kept'] += len(over)
-        for beat in over:
-            if found:
-                self.beat(beat.minion_id, beat.document, beat.give)
-            else:
-                beat.give('no_holder', {'retry_ms': self.b.set.view.silence_ms})
-
     def _elsewhere(self, give):
         b = self.b
         nam = b.holders.get(self.cell.grp, ('', 0))[0]
@@ -302,8 +263,7 @@
         term = s.view if self.cell.leads else -1
         if term != self.term:
             self._turn(term)
-        if self.kept:
-            self._pass_on()
+        self.kept.tick()
         if term < 0:
             return
         while self.heap and self.heap[0][0] <= b.now:
--- a/tests/test_kept_beats.py
+++ b/tests/test_kept_beats.py
@@ -54,7 +54,7 @@
 
 
 def test_a_beat_at_a_seat_without_a_leader_is_given_back_within_the_second_it_is_worth(cell, monkeypatch):
-    monkeypatch.setattr(type(cell.tender), '_acts', lambda tender: False)
+    monkeypatch.setattr(type(cell.tender), 'acts', lambda tender: False)
     got = []
     beat(cell, got)
     cell.go(400)
@@ -64,22 +64,25 @@
 
 
 def test_a_kept_beat_is_taken_once_this_seat_leads(cell, monkeypatch):
-    acts = type(cell.tender)._acts
-    monkeypatch.setattr(type(cell.tender), '_acts', lambda tender: False)
+    acts = type(cell.tender).acts
+    monkeypatch.setattr(type(cell.tender), 'acts', lambda tender: False)
     got = []
     beat(cell, got)
     cell.go(200)
-    monkeypatch.setattr(type(cell.tender), '_acts', acts)
+    monkeypatch.setattr(type(cell.tender), 'acts', acts)
     cell.go(40)
     assert not cell.tender.kept and cell.b.count['beats.kept'] == 1
     assert cell.tender.links['m1'].recv >= cell.now - 40
-    cell.go(1000)
+    # within the second that began when it came: 0.7 s after that
+    cell.go(400)
+    assert not got
+    cell.go(120)
     assert got == ['ok']
 
 
 def test_a_seat_whose_leader_is_heard_sends_beats_there_at_once(cell, monkeypatch):
-    monkeypatch.setattr(type(cell.tender), '_acts', lambda tender: False)
-    monkeypatch.setattr(type(cell.tender), '_leaderless', lambda tender: False)
+    monkeypatch.setattr(type(cell.tender), 'acts', lambda tender: False)
+    monkeypatch.setattr(type(cell.tender.kept), 'leaderless', lambda kept: False)
     cell.b.holders['commons'] = ('t1', 3)
     cell.b.nodes['t1'] = {'calls': '10.0.0.2:2'}
     cell.b.links['t1'] = {'role': 'trellis'}
