--- a/asterwharf/base/mechanisms.py
+++ b/asterwharf/base/mechanisms.py
@@ -16,7 +16,6 @@
     GUARANTEES = 'guarantees'  # less urgent work has a share of its group's room
     RACK_PATIENCE = 'rack_patience'  # work waits for the rack that suits it
     COPIES = 'copies'  # work that may be repeated is started again while its minion is silent
-    KEPT_BEATS = 'kept_beats'  # beats that come while there is no leader wait for one
     LEAVING = 'leaving'  # runs that can't end before their minion leaves are moved at once
 
 
--- a/asterwharf/orchard/tender.py
+++ b/asterwharf/orchard/tender.py
@@ -7,7 +7,6 @@
 import heapq
 
 from asterwharf.base.board import Controller
-from asterwharf.orchard.kept_beats import KeptBeats
 from asterwharf.orchard.minion_link import CLOSED, DISCONNECTED, RECOVERING, REGISTERED, REGISTERING, Link
 
 # a minion's clock may be slow by this much
@@ -28,11 +27,11 @@
 class Tender(Controller):
     """Lives on every seat; acts only where the seat holds."""
 
-    __slots__ = ('cell', 'due', 'heap', 'kept', 'links', 'look', 'n', 'term', 'watch')
+    __slots__ = ('cell', 'due', 'heap', 'links', 'look', 'n', 'term', 'watch')
 
     def __init__(self, b, cell):
         super().__init__(b)
-        self.cell, self.term, self.watch, self.kept = cell, -1, None, KeptBeats(self)
+        self.cell, self.term, self.watch = cell, -1, None
         self._fresh()
 
     def _fresh(self):
@@ -49,8 +48,8 @@
     # --- the calls
     def beat(self, mid, d, give):
         """A minion's account of itself; `give(code, body)` answers it once, within the second it is worth."""
-        if not self.acts():
-            return self.kept.keep(mid, d, give) if self.kept.leaderless() else self._elsewhere(give)
+        if not self._acts():
+            return self._elsewhere(give)
         b, now = self.b, self.b.now
         l = self.links.get(mid)
         if l is not None and l.state == CLOSED and self._left(l, d):
@@ -101,7 +100,7 @@
 
     def leave(self, mid, give):
         """The minion ends in good order: the link is closed on purpose."""
-        if not self.acts():
+        if not self._acts():
             return self._elsewhere(give)
         l = self.links.get(mid)
         if l is not None and l.state != CLOSED:
@@ -114,8 +113,7 @@
             self.b.count['left'] += 1
         return give('ok', {})
 
-    def acts(self):
-        """Whether this seat leads and may give holds now."""
+    def _acts(self):
         return self.cell.takes and self.term == self.cell.replica.view and self._leased()
 
     def _leased(self):
@@ -263,7 +261,6 @@
         term = s.view if self.cell.leads else -1
         if term != self.term:
             self._turn(term)
-        self.kept.tick()
         if term < 0:
             return
         while self.heap and self.heap[0][0] <= b.now:
--- a/tests/test_orchard_moves.py
+++ b/tests/test_orchard_moves.py
@@ -278,13 +278,10 @@
     cell.submit(A, steps=[{'count': 1, 'cpu': 1000, **LONG}])
     cell.go(300)
     task, mid = next(iter(where(cell, A).items()))
-    # no beat of before is kept for the new leader: the minion has never listed the run
-    cell.mute = set(cell.minions)
     again(cell)
     l, m = cell.tender.links[mid], cell.minions[mid]
     # it never began there, and the minion drains: no start may be told any more
     m.runs, m.wait, m.fix['state'] = {}, 0, 'draining'
-    cell.mute = set()
     cell.go(l.bound - cell.now - 60)
     assert where(cell, A) == {task: mid}
     cell.go(1000)
