--- a/asterwharf/orchard/pace.py
+++ b/asterwharf/orchard/pace.py
@@ -22,8 +22,8 @@
 SPREAD, LEAST_SPREAD, CLIP = 0.7, 0.15, 2.5
 # the weight of what was thought before any end, and of the latest end at least
 PRIOR, LATEST = 3, 0.02
-# ended runs kept of a step; steps that are remembered
-ENDS, STEPS_KEPT = 64, 1000
+# ended runs kept of a step; steps and queues that are remembered
+ENDS, STEPS_KEPT, QUEUES_KEPT = 64, 1000, 1000
 # peers that are looked at, at most
 PEERS = 32
 
@@ -111,11 +111,11 @@
             return
         queue, count, middle = step.job.queue, len(values), sum(values) / len(values)
         if count > 1:
-            spread = self._against_peers.setdefault(queue, Spread())
+            spread = _of_queue(self._against_peers, queue)
             for value in values:
                 spread.add((value - middle) * sqrt(count / (count - 1)))
         if step.estimate:
-            self._against_estimate.setdefault(queue, Spread()).add(middle - log(step.estimate))
+            _of_queue(self._against_estimate, queue).add(middle - log(step.estimate))
 
     def moved(self, seen):
         """A run was moved from a slow minion: if the work itself is so, the next run is not to be moved for the same."""
@@ -258,3 +258,10 @@
 
 
 _UNKNOWN = Spread()
+
+
+def _of_queue(spreads, queue):
+    """The Spread of a queue; of too many queues the oldest is forgotten."""
+    if queue not in spreads and len(spreads) >= QUEUES_KEPT:
+        del spreads[next(iter(spreads))]
+    return spreads.setdefault(queue, Spread())
