--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -24,6 +24,7 @@
 from asterwharf.consensus.member import group_members, leave  # noqa: E402
 from asterwharf.orchard.minion_link import REGISTERED, Link  # noqa: E402
 from asterwharf.orchard.model import Job, Step, Task  # noqa: E402
+from asterwharf.orchard.mover import Mover  # noqa: E402
 from asterwharf.orchard.tender import Tender  # noqa: E402
 from asterwharf.orchard.yard import Yard  # noqa: E402
 from asterwharf.wire.schema import pack  # noqa: E402
@@ -89,6 +90,34 @@
         return self.rows
 
 
+class Looks:
+    """Times each look of the mover for runs to stop, in processor time; ticks at which it does not look are left out."""
+
+    def __init__(self):
+        self.took_ns, self._tick = [], Mover.tick
+
+    def __enter__(self):
+        def timed(mover):
+            begun, due = time.process_time_ns(), mover.due
+            self._tick(mover)
+            if mover.due != due:
+                self.took_ns.append(time.process_time_ns() - begun)
+
+        Mover.tick = timed
+        return self
+
+    def __exit__(self, *_):
+        Mover.tick = self._tick
+
+    def mean_ms(self):
+        """Mean processor time of a look, ms."""
+        return sum(self.took_ns) / max(1, len(self.took_ns)) / 1e6
+
+    def worst_ms(self):
+        """Longest processor time of a look, ms."""
+        return max(self.took_ns, default=0) / 1e6
+
+
 def plan(rig, said, seconds=3, scale=1.0):
     """The planned size on one holder: so many starts and ends a second beside what runs on."""
     num, run, rate = max(4, int(PLAN * scale)), max(8, int(STANDING * scale)), max(4, int(RATE * scale))
@@ -102,13 +131,16 @@
     rig.spread(rate * (seconds + 1) // 8, (seconds + 1) * 1000, lambda i: rig.submit(tasks=8))
     rig.run(1000)
     rig.waits.clear()
-    got = rig.window(seconds * 1000)
+    with Looks() as looks:
+        got = rig.window(seconds * 1000)
     waits = sorted(rig.waits) or [0]
     out = {
         'minions': num,
         'runs standing': run,
         'wanted starts a second': rate,
         'worst turn, ms': max(x.worst for x in rig.core) / 1e6,
+        'look for runs to move, mean ms': looks.mean_ms(),
+        'look for runs to move, worst ms': looks.worst_ms(),
         'start delay median, ms': waits[len(waits) // 2],
         'start delay p99, ms': waits[int(len(waits) * 0.99)],
     }
