--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -48,6 +48,12 @@
     )
 
 
+def test_looks_for_runs_to_move_are_timed_and_nothing_is_left_behind(got, slopes):
+    plan = got['plan']
+    assert 0 < plan['look for runs to move, mean ms'] <= plan['look for runs to move, worst ms']
+    assert slopes.Mover.tick.__name__ == 'tick'
+
+
 def test_after_a_change_of_holder_every_minion_registers_again(got):
     assert 0 < got['plan']['registered again after, ms'] < 6000
 
