Tests: four mechanisms whose loss no test noticed

Seen by breaking the code: a gang on a slow minion, ended runs of a minion that speak for it, and a step that a decision has just placed had tests that passed without the code; each fails now.

--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -8,8 +8,8 @@
 from yard_cell import QUEUES, A, B, C, Cell
 
 from asterwharf.base.settings import Calls
-from asterwharf.orchard.minion_link import Link
-from asterwharf.orchard.pace import PaceJudge, Spread
+from asterwharf.orchard.minion_link import Link, Progress
+from asterwharf.orchard.pace import Observation, PaceJudge, Spread
 
 STEP = {'cpu': 1000, 'estimate_ms': 4000}
 # percent a second of a run on a sound minion
@@ -144,30 +144,40 @@
     assert not moved(cell)
 
 
-def test_a_gang_is_let_be():
-    cell = cell_of('m1', 'm2')
-    cell.submit(A, steps=[dict(STEP, count=4)])
+def test_a_gang_on_a_slow_minion_is_let_be():
+    cell = cell_of('m1', 'm2', cpu=8000)
+    cell.submit(A, steps=[dict(STEP, count=12)])
     cell.submit(B, steps=[dict(STEP, count=4, together=True)])
     cell.go(100)
-    rate(cell, A, {'m1': SOUND, 'm2': SOUND})
+    rate(cell, A, {'m1': SOUND, 'm2': SOUND / 8})
     rate(cell, B, {'m1': SOUND / 8, 'm2': SOUND / 8})
-    cell.minion('m3')
+    alone = [task for task in cell.on('m2') if task.startswith(A)]
+    gang = where(cell, B)
+    assert len(alone) >= 4 and 'm2' in gang.values()
+    cell.minion('m3', cpu=16000)
     cell.go(2500)
-    assert not moved(cell) and len(where(cell, B)) == 4
+    # the others are moved from the slow minion
+    assert moved(cell) == len(alone) and where(cell, B) == gang
+
+
+def level_of(own_ended):
+    """Slowness of m2, two of whose runs are under way at a quarter of the pace of others, with or without short ones that ended there."""
+    judge = PaceJudge(SimpleNamespace(set=SimpleNamespace(call=Calls())))
+    step = SimpleNamespace(job=SimpleNamespace(id='j', queue='q'), n=0, together=False, near='', estimate=0)
+    judge._against_peers['q'] = spread = Spread()
+    for number in range(200):
+        spread.add(0.3 if number % 2 else -0.3)
+    for _ in range(own_ended):
+        judge.ended(step, 'm2', 400)
+    seen = []
+    for minion_id, whole in [('m1', 1000.0)] * 4 + [('m2', 4000.0)] * 2:
+        task, link = SimpleNamespace(step=step), SimpleNamespace(mid=minion_id, rack='')
+        seen.append(Observation(link, task, Progress(0, 0, 100, 10, 1), whole, None))
+    return judge.slow(seen)
 
 
 def test_ended_runs_of_a_minion_speak_for_it():
-    cell = cell_of('m1', 'm2')
-    cell.submit(A, steps=[dict(STEP, count=8)])
-    cell.go(100)
-    rate(cell, A, {'m1': SOUND, 'm2': SOUND})
-    short, *_, large = (task for task, name in where(cell, A).items() if name == 'm2')
-    cell.minions['m2'].rates.update({short: 100, large: SOUND / 6})
-    cell.go(900)
-    cell.minions['m2'].end(short)
-    cell.minion('m3')
-    cell.go(2000)
-    assert not moved(cell)
+    assert set(level_of(0)) == {'m2'} and not level_of(4)
 
 
 def test_a_run_that_stands_still_beside_others_that_go_on_is_moved_much_later():
--- a/tests/test_wait_reasons.py
+++ b/tests/test_wait_reasons.py
@@ -2,6 +2,8 @@
 
 from yard_cell import QUEUES, A, B, C, Cell
 
+from asterwharf.orchard import wait_reasons
+
 LONG = {'estimate_ms': 60000}
 
 
@@ -72,15 +74,15 @@
     assert len(late) <= 3
 
 
-def test_a_step_that_is_placed_at_last_is_no_step_that_waits():
+def test_a_step_that_is_placed_at_last_is_no_step_that_waits(monkeypatch):
+    # each decision is looked at, also the one that places the step
+    monkeypatch.setattr(wait_reasons, 'SAMPLE', 0)
     cell = Cell(QUEUES)
     cell.minion('m1')
     cell.submit(A, steps=[{'count': 1, 'cpu': 4000, **LONG}])
     cell.go(300)
     cell.submit(B, steps=[{'count': 1, 'cpu': 1000, **LONG}])
     cell.go(4000)
-    # the next decision finds room for what has waited long, and looks at it before its start is delivered
-    cell.placer.wait_reasons._last_sample = 0
     cell.minions['m1'].end(f'{A}.0.0.0')
     cell.go(1000)
     assert cell.on('m1') == [f'{B}.0.0.0']
