Simulator's judge: an end that nobody heard before its minion was gone excuses until the hold is over

The same cause as with minions that are cut off. Change: unheard ends of a minion that crashes count as held for what is left of its hold. A test tells heard from unheard ends, cut and crashed, and that the excuse ends with the hold.

--- a/asterwharf/sim/yard_observer.py
+++ b/asterwharf/sim/yard_observer.py
@@ -79,6 +79,11 @@
 
     def dead(self, m):
         self.on[m.id] = {}
+        # an end that nobody had heard by then looks like a run that goes on until the hold is over
+        for r in self.ended[m.id].values():
+            if r.job is not None and r.job.id in self.jobs and not r.void:
+                told = self.jobs[r.job.id]
+                told.held = max(told.held, self.w.t + m.held())
 
     def beaten(self, m, node, state, sent):
         """A beat was acknowledged."""
--- a/tests/test_yard_judge.py
+++ b/tests/test_yard_judge.py
@@ -222,6 +222,40 @@
         s.go(500)
 
 
+def lost_idle_after_an_end(s, heard, away):
+    """A run fails on a minion that is out of reach, or crashes, just after; until its hold is over nobody can know of an unheard end."""
+    s.d.job()
+    others = [s.minion(f'm{i}') for i in range(1, 4)]
+    r = s.start(on='m0')
+    for m in others:
+        s.o.beaten(m, 't0', 'ready', s.w.t)
+    s.go(3500)
+    m = r.minion
+    m.hold = m.now() + 8000
+    s.end(r, 'failed', seen=heard)
+    s.end(s.start(task=B, on='m1'), 'done')
+    if away == 'cut':
+        s.d.f.net.no_out.add(m.machine)
+    else:
+        m.crash()
+    for _ in range(9):
+        s.o.look()
+        s.go(500)
+
+
+@pytest.mark.parametrize('away', ['cut', 'crash'])
+def test_nothing_running_is_excused_only_while_an_end_cannot_be_known(away):
+    heard, unheard = Story(), Story()
+    lost_idle_after_an_end(heard, True, away)
+    lost_idle_after_an_end(unheard, False, away)
+    assert heard.rules() == ['LOST'] and not unheard.rules()
+    # once the hold is over it is no excuse any more
+    for _ in range(20):
+        unheard.go(500)
+        unheard.o.look()
+    assert unheard.rules() == ['LOST']
+
+
 def config_old(s, bad):
     v = s.o.versions
     v.ack(v.sent[0])
