Late jobs: one line a job, and none for what a new leader finds replayed

Cause: where the last runs of a job ended in one change, its end was judged after the first of them and again after each other; and a leader that had just begun took the runs replayed from the log for news. Only log lines and counters were wrong. Change: events of the turn in which a leader begins are dropped; jobs are judged once, when all events of a turn were taken.

--- a/asterwharf/orchard/late_jobs.py
+++ b/asterwharf/orchard/late_jobs.py
@@ -45,13 +45,15 @@
 class LateJobs(Controller):
     """Follows the runs of open jobs; at the leader only."""
 
-    __slots__ = ('_begun', '_stops', '_traces', 'cell', 'placer', 'tender')
+    __slots__ = ('_begun', '_stops', '_told', '_traces', 'cell', 'placer', 'tender')
 
     def __init__(self, board, cell, tender, placer):
         super().__init__(board)
         self.cell, self.tender, self.placer = cell, tender, placer
         # job -> Trace; (task, run) -> why it was stopped; when this leader began, wall-clock ms, or None
         self._traces, self._stops, self._begun = {}, {}, None
+        # finished jobs that were judged
+        self._told = {}
 
     def stopped(self, task, reason, evidence):
         """A run is being stopped for a reason of the scheduler's own."""
@@ -75,12 +77,21 @@
         machine = self.cell.mac
         events, machine.events = machine.events, []
         if self.tender.term < 0:
-            self._begun, self._traces, self._stops = None, {}, {}
+            self._begun, self._traces, self._stops, self._told = None, {}, {}, {}
             return
         if self._begun is None:
+            # what was replayed from the log, or happened under an earlier leader, is no news
             self._begun = self.cell.wall
+            return
+        over = {}
         for event in events:
             self._take(event)
+            job = event.task.step.job
+            if job.fate:
+                over[job.id] = job
+        # the last runs of a job may have ended in one change: it is judged when all of them were taken
+        for job in over.values():
+            self._over(job)
 
     def _trace(self, job):
         if job.times or job.id not in self._traces and len(self._traces) >= FOLLOWED:
@@ -104,13 +115,15 @@
             for later in job.live.get(step.k, ()):
                 if step.n in later.after:
                     trace.opened[later.k, later.n] = now
-        if job.fate:
-            self._over(job, trace)
 
-    def _over(self, job, trace):
-        del self._traces[job.id]
-        if job.fate != 'finished':
+    def _over(self, job):
+        trace = self._traces.pop(job.id, None)
+        if trace is None or job.fate != 'finished' or job.id in self._told:
             return
+        # an end that comes later, of another run of it, tells nothing new
+        self._told[job.id] = None
+        if len(self._told) > FOLLOWED:
+            del self._told[next(iter(self._told))]
         took, phases = self.cell.wall - job.at, self._phases(job, trace)
         # the aim goes by the work that there was, not by what was estimated; what came to nothing is no work
         aim = job.stretch * phases[WORK] + job.aim
--- a/tests/test_late_jobs.py
+++ b/tests/test_late_jobs.py
@@ -85,3 +85,29 @@
         run_to_end(cell, job)
     follower = next(part for part in cell.plot.all if type(part).__name__ == 'LateJobs')
     assert not follower._traces and not follower._stops and not cell.cell.mac.events
+
+
+def test_runs_that_end_in_one_change_make_one_line():
+    cell = cell_of('m1')
+    cell.submit(A, steps=[{'count': 3, 'cpu': 1000, 'estimate_ms': 1000}])
+    cell.go(1500)
+    cell.minions['m1'].end(f'{A}.0.0.0', 'stopped')
+    cell.go(600)
+    minion = cell.minions['m1']
+    for task in list(minion.runs):
+        minion.end(task)
+    cell.go(1000)
+    lines = [fields for _, event, fields in cell.logged if event == 'job late']
+    assert len(lines) == 1 and lines[0]['phases']['lost.stopped'] > 1000 and cell.b.count['late_jobs.q'] == 1
+
+
+def test_what_is_replayed_from_the_log_at_a_start_is_no_news():
+    cell = cell_of('m1')
+    for job in (A, B):
+        cell.submit(job, steps=[{'count': 2, 'cpu': 1000, 'estimate_ms': 100}])
+        run_to_end(cell, job, 600)
+    cell.logged.clear()
+    cell.build()
+    assert cell.until(lambda: cell.cell.takes and cell.core.takes and cell.tender.term > 0)
+    cell.go(1000)
+    assert not late(cell) and not cell.b.count['late_jobs.q']
