--- a/tests/test_sickle.py
+++ b/tests/test_sickle.py
@@ -190,14 +190,21 @@
 
 
 def test_trouble_names_what_is_wrong_with_the_first_door_and_a_core_node_gone(live, sickle):
+    said = []
+
     def calm():
-        return 'nothing is wrong' in sickle('trouble')
+        try:
+            said.append(sickle('trouble'))
+        except StatusError as error:
+            said.append(error.args)
+            raise
+        return 'nothing is wrong' in said[-1]
 
     def named(*words):
         out = sickle('trouble', rc=4)
         return all(w in out for w in words)
 
-    assert soon(live, calm)
+    assert soon(live, calm), said[-1:]
     gone = next(c for c in live.core if c != live.status('e1')['holders']['core']['name'])
     live.kill('e0')
     live.kill(gone)
@@ -216,7 +223,7 @@
     assert soon(live, edge_alone)
     for n in [*live.core, 'e0']:
         live.start(n)
-    assert soon(live, calm)
+    assert soon(live, calm), said[-1:]
 
 
 def test_alarms_have_numbers_stand_and_are_cleared(live, sickle):
