--- a/asterwharf/orchard/late_jobs.py
+++ b/asterwharf/orchard/late_jobs.py
@@ -92,11 +92,12 @@
         del self._traces[job.id]
         if job.fate != 'finished':
             return
-        took, aim = self.cell.wall - job.at, self.placer.urgency.aim_ms(job)
+        took, phases = self.cell.wall - job.at, self._phases(job, trace)
+        # the aim goes by the work that there was, not by what was estimated; what came to nothing is no work
+        aim = job.stretch * phases[WORK] + job.aim
         if took <= aim:
             return
         self.b.count[f'late_jobs.{job.queue}'] += 1
-        phases = self._phases(job, trace)
         self.b.log(
             'info',
             'job late',
--- a/asterwharf/orchard/urgency.py
+++ b/asterwharf/orchard/urgency.py
@@ -70,10 +70,6 @@
             return Lateness.IN_TIME
         return Lateness.LATE if ends_after <= aim_ms * LATE else Lateness.TOO_LATE
 
-    def aim_ms(self, job):
-        """How long a job may take to be in time, by its estimates, ms."""
-        return self._times(job, 0)[0]
-
     def _times(self, job, step_number):
         """(aim, longest chain of work from a step on), ms."""
         room = self._room(job.group)
--- a/bench/trials/__main__.py
+++ b/bench/trials/__main__.py
@@ -14,6 +14,7 @@
 from cyclopts import App
 
 from asterwharf.base.mechanisms import Mechanism
+from bench.trials import late_jobs
 from bench.trials.errors import TrialError
 from bench.trials.pairs import Case, Runner, by_variant, document
 from bench.trials.table import table
@@ -80,6 +81,15 @@
     compare(variants, fleetbench, site, day, seeds, why, workers, out, counted, small)
 
 
+@app.command
+def late(log: str, *, plot: str = ''):
+    """Tells from a play's output (`run --log core`) in which phase the time of each late job went; `plot`: a picture, too."""
+    found = late_jobs.read_log(log)
+    print(late_jobs.table(found))
+    if plot:
+        late_jobs.plot(found, plot)
+
+
 if __name__ == '__main__':
     try:
         app()
