--- a/asterwharf/orchard/late_jobs.py
+++ b/asterwharf/orchard/late_jobs.py
@@ -1,6 +1,6 @@
 """Where the time of late jobs went, told in one log line a job by the leader that saw it end. Pure."""
 
-from collections import Counter
+from collections import Counter, deque
 from dataclasses import dataclass, field
 
 from asterwharf.base.board import Controller
@@ -9,8 +9,8 @@
 EARLIER_LEADER = 'earlier_leader'  # before this leader began: it can't tell
 WAIT, LOST, WORK = 'wait', 'lost', 'work'
 UNSEEN = 'short'  # a wait that no sample fell into
-# jobs that are followed at once, at most
-FOLLOWED = 20000
+# jobs that are followed at once, at most; stops of a job that are told
+FOLLOWED, STOPS_TOLD = 20000, 20
 
 
 @dataclass(slots=True)
@@ -22,13 +22,24 @@
     how: str = ''
 
 
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """A run that the scheduler stopped for a reason of its own; `evidence` are the figures that it went by."""
+
+    task: str
+    minion: str
+    reason: str
+    evidence: dict
+
+
 @dataclass(slots=True)
 class Trace:
-    """What is known of a job under way: task key -> its runs, step -> when it opened, step -> ms waited by reason."""
+    """What is known of a job under way: task key -> its runs, step -> when it opened, step -> ms waited by reason, latest stops."""
 
     runs: dict = field(default_factory=dict)
     opened: dict = field(default_factory=dict)
     waits: dict = field(default_factory=dict)
+    stops: deque = field(default_factory=lambda: deque(maxlen=STOPS_TOLD))
 
 
 class LateJobs(Controller):
@@ -42,9 +53,17 @@
         # job -> Trace; (task, run) -> why it was stopped; when this leader began, wall-clock ms, or None
         self._traces, self._stops, self._begun = {}, {}, None
 
-    def stopped(self, task, why):
+    def stopped(self, task, reason, evidence):
         """A run is being stopped for a reason of the scheduler's own."""
-        self._stops[task.key, task.run] = why
+        self._stops[task.key, task.run] = reason
+        trace = self._trace(task.step.job)
+        if trace is not None:
+            trace.stops.append(Stop(task.key, task.mid, reason, evidence))
+
+    def stops(self, job):
+        """The latest Stops of a job, as far as this leader knows."""
+        trace = self._traces.get(job.id)
+        return list(trace.stops) if trace is not None else []
 
     def waited(self, step, reason, wait_ms):
         """A step was seen waiting for a start."""
--- a/asterwharf/orchard/mover.py
+++ b/asterwharf/orchard/mover.py
@@ -62,7 +62,7 @@
         for o in t.step.tasks if t.step.together else (t,):
             if o.mid and not o.stop:
                 stops[o.key] = o.run
-                self.late_jobs.stopped(o, why)
+                self.late_jobs.stopped(o, why, evidence)
         self.b.count[f'moved.{why}'] += 1
         self.b.log('info', 'moved', task=t.key, minion=t.mid, why=why, **evidence)
 
@@ -91,7 +91,7 @@
                 left = max(0, t.step.estimate * (100 - p[3]) / 100)
             # one that stands still seems to need less and less
             if t.step.lasts or max(0, left) > gone - b.now - b.set.call.stop_grace_ms:
-                self._stop(t, stops, 'leaving')
+                self._stop(t, stops, 'leaving', left_ms=round(max(0, left)), gone_in_ms=round(gone - b.now))
 
     # --- minions that stall or have turned slow
     def _judge(self, observations, stops):
@@ -127,7 +127,9 @@
             if not task.step.together:
                 health.shun(task, minion_id)
             health.stopped(task)
-            self._stop(task, stops, 'still')
+            self._stop(
+                task, stops, 'still', still_ms=seen.link.recv - seen.progress[2], others_go_on=minion_id in going
+            )
 
     def _pays(self, seen, slowness):
         """Whether a run on a slow minion would be done much sooner elsewhere, with what it has saved."""
@@ -177,7 +179,7 @@
                 runs, fit, mid = got
                 self.placer.reservations.hold_evicted(s, mid, min(fit, want), runs)
                 for t in runs:
-                    self._stop(t, stops, 'pushed')
+                    self._stop(t, stops, 'pushed', for_job=s.job.id)
                     self.pushed[t.key] = self.pushed.get(t.key, 0) + 1
                     if len(self.pushed) > KEPT:
                         del self.pushed[next(iter(self.pushed))]
--- a/asterwharf/orchard/node.py
+++ b/asterwharf/orchard/node.py
@@ -22,7 +22,7 @@
 class Plot:
     """What a core node runs for the cell."""
 
-    __slots__ = ('all', 'member', 'placer', 'tender')
+    __slots__ = ('all', 'late_jobs', 'member', 'placer', 'tender')
 
     def __init__(self, b, load):
         self.member = GroupMember(b, COMMONS, Yard(), load(COMMONS))
@@ -30,7 +30,7 @@
         hlt = Health(b, self.member, self.tender)
         self.placer = Placer(b, self.member, self.tender, hlt)
         # ends are learned from before places are given, places are given before beats are answered
-        late = self.placer.wait_reasons.late_jobs = LateJobs(b, self.member, self.tender, self.placer)
+        late = self.late_jobs = self.placer.wait_reasons.late_jobs = LateJobs(b, self.member, self.tender, self.placer)
         mover = Mover(b, self.member, self.tender, hlt, self.placer, late)
         self.all = self.member, hlt, late, self.placer, self.tender, mover
 
--- a/asterwharf/orchard/views.py
+++ b/asterwharf/orchard/views.py
@@ -68,13 +68,14 @@
             brief(j), group=j.group, priority=j.prio, tries=j.tries, times=j.times, times_done=j.done, payload=j.payload
         )
         rooms, steps, runs = Rooms(self.plot.placer), [], []
+        stops = self.plot.late_jobs.stops(j)
         for k, sts in list(j.live.items())[:ROWS]:
             for s in sts:
                 cnt = Counter(t.state for t in s.tasks)
                 steps.append(
                     {'time': k, 'step': s.n, 'count': len(s.tasks)}
                     | {NAMES[i]: cnt[i] for i in range(len(NAMES)) if cnt[i]}
-                    | {'why': self.why(s, rooms)}
+                    | {'why': self.why(s, rooms), 'stopped': stopped(s, stops)}
                 )
                 for t in s.tasks:
                     if t.state == RUN and len(runs) < RUNS:
@@ -82,7 +83,8 @@
                 yield len(s.tasks)
         if j.times and j.next < j.times and not j.fate:
             out['due'] = j.due(j.next)
-        return out | {'steps': steps, 'runs': runs, 'why': j.why or self._waits(j, steps)}
+        told = [{'task': s.task, 'minion': s.minion, 'reason': s.reason, 'evidence': s.evidence} for s in stops]
+        return out | {'steps': steps, 'runs': runs, 'stops': told, 'why': j.why or self._waits(j, steps)}
 
     def _waits(self, j, steps):
         if j.fate or not steps:
@@ -318,6 +320,13 @@
         self._sure(cell, give, fn)
 
 
+def stopped(step, stops):
+    """How many runs of a step were stopped lately, by reason; '' where none was."""
+    start = f'{step.job.id}.{step.k}.{step.n}.'
+    reasons = Counter(stop.reason for stop in stops if stop.task.startswith(start))
+    return ', '.join(f'{reason}: {count}' for reason, count in sorted(reasons.items()))
+
+
 def brief(j):
     """A job in one row; times are ms since 1970."""
     tsk = left = 0
--- a/asterwharf/sickle/queues.py
+++ b/asterwharf/sickle/queues.py
@@ -102,11 +102,11 @@
 
 @queues.command(name='why')
 def queues_why(queue: str, id: str, *, at: At = None, js: Js = False):
-    """Why each step of a queue's job waits."""
+    """Why each step of a queue's job waits, and why runs of it were stopped lately."""
     show(
         call(doors(at), 'GET', _job(queue, id))[1],
         'steps',
-        ('time', 'step', 'count', 'waiting', 'ready', 'running', 'done', 'why'),
+        ('time', 'step', 'count', 'waiting', 'ready', 'running', 'done', 'why', 'stopped'),
         js,
     )
 
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -87,6 +87,10 @@
     assert moved(cell) == 4 and not cell.on('m2') and 'm2' in cell.placer.health.until
     evidence = next(fields for _, event, fields in cell.logged if event == 'moved')
     assert evidence['factor'] > 4 and evidence['runs'] == 4
+    # an operator is told, too
+    told = cell.job()
+    assert len(told['stops']) == 4 and told['stops'][0]['evidence']['factor'] > 4
+    assert told['steps'][0]['stopped'] == 'slow_minion: 4'
 
 
 def test_a_run_whose_own_pace_falls_is_moved():
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -148,6 +148,9 @@
     outcomes = runner.play(jobs, said.append)
     assert sorted(outcome.case.seed for outcome in outcomes) == [1, 3]
     assert any('216' in line for line in said) and len(list((kept / 'journal').iterdir())) == 3
+    # only what has no report yet is played when the comparison goes on
+    again = runner.play(jobs, said.append, resume=True)
+    assert len(again) == 2 and len(list((kept / 'journal').iterdir())) == 4
 
 
 LINE = '  12.5 core-1 {"event": "job late", "queue": "q", "phases": {"work": 900, "wait.no_room": 300, "lost.lapsed": 5000}}'
