--- a/review/3/case.py
+++ b/review/3/case.py
@@ -13,7 +13,7 @@
 from rig import BOUNDS, Client, Minion, config, ident, main, route, service  # noqa: E402
 
 # seconds: what the task takes on a slow minion and on the others, how late one beat comes, the rest between two steps
-SLOW, SOUND, LATE, REST = 90.0, 32.0, 1.3, 12.0
+SLOW, SOUND, LATE, REST = 90.0, 34.0, 2.0, 12.0
 # jobs a second of the load, and the bytes of the text of each
 RATE, SPEC = 90, 3900
 
@@ -71,7 +71,7 @@
     last = 0.0
     if trouble:
         record('one beat of', mine.mid, 'comes late')
-        mine.pause_until = time.monotonic() + LATE
+        mine.late = LATE
         site.until('the task has a copy', lambda: any(m.runs for m in minions if m is not mine), 10)
         record('the load:', counts)
         time.sleep(REST)
@@ -85,7 +85,7 @@
             time.sleep(BOUNDS['catch_up_s'])
     else:
         time.sleep(REST)
-    site.until('the job is shown as finished', lambda: client.state(path) == 'finished', 100)
+    site.until('the job is shown as finished', lambda: client.state(path) == 'finished', 100, 0.5)
     shown = time.monotonic()
     until.set()
     # other work, which fills the service
