--- a/asterwharf/orchard/yard.py
+++ b/asterwharf/orchard/yard.py
@@ -1,14 +1,11 @@
 """The state machine of the cell whose minions call in: jobs and runs, changed only by delivered changes. Pure."""
 
-from asterwharf.orchard import kinds  # noqa: F401
-from asterwharf.orchard.drains import DRAIN, Drains
-from asterwharf.orchard.model import CANCELLED, DONE, FAILED, FINAL, READY, RUN, STEPS, WAIT, Job, RunEvent, Step, build
-from asterwharf.wire.schema import PROTO, pack, unpack
+from asterwharf.orchard.model import CANCELLED, DONE, FAILED, FINAL, READY, RUN, STEPS, WAIT, RunEvent, Step, build
+from asterwharf.orchard.yard_rows import YardRows
+from asterwharf.wire.schema import PROTO, unpack
 
-ROW = 'r_yard'
 
-
-class Yard(Drains):
+class Yard(YardRows):
     """Applies changes in the group's one order; the same on every seat."""
 
     __slots__ = (
@@ -31,44 +28,6 @@
         self.reads = self.floor = PROTO
         self.load({})
 
-    # --- rows on disk
-    def load(self, rows):
-        self.jobs, self.dirty, self.timed, self.open, self.waiting = {}, set(), {}, 0, {}
-        # on: minion -> the runs it may hold, used: the room they take; ready: steps with something to place
-        self.on, self.used, self.ready = {}, {}, {}
-        # for the holder, not kept: minions whose runs have changed, how runs have ended, and what became of runs
-        self.changed, self.ended, self.events = set(), [], []
-        self.undrained()
-        for raw in rows.values():
-            knd, d = unpack(raw, self.reads)
-            self.drained(d) if knd == DRAIN else self._row(d['v'])
-
-    def _row(self, d):
-        live = d.pop('live')
-        j = self.jobs[d['id']] = Job(**d)
-        self._opened(j)
-        for k, sts in live:
-            steps = j.live[k] = [Step(j, k, n) for n in range(len(j.spec))]
-            for s, (fails, failrun, tasks) in zip(steps, sts):
-                s.fails, s.failrun = fails, failrun
-                for t, r in zip(s.tasks, tasks):
-                    t.load(r)
-                    s.ready += t.state == READY
-                    s.left -= t.state in FINAL
-                    if t.state == RUN:
-                        self._hold(t, t.mid)
-                    if t.spare:
-                        self._hold(t, t.spare[1])
-                self._look(s)
-
-    def delta(self):
-        """Rows changed since the last call; None where a row is no more."""
-        out = {
-            f'job:{i}': pack(ROW, {'v': self.jobs[i].dump()}) if i in self.jobs else None for i in sorted(self.dirty)
-        }
-        self.dirty = set()
-        return out | self.drain_rows()
-
     def apply(self, op, raw):
         knd, d = unpack(raw, self.reads)
         return getattr(self, knd)(d)
