--- a/asterwharf/consensus/replica.py
+++ b/asterwharf/consensus/replica.py
@@ -43,6 +43,7 @@
 
     __slots__ = (
         'bytes_since_checkpoint',
+        'checkpoint_taken',
         'commit_index',
         'counters',
         'election_due',
@@ -88,6 +89,8 @@
         self.rng, self.machine, self.now, self.wall, self.started_at = rng, machine, now, now, now
         self.view, self.vote, self.votes, self.commit_index = 0, '', set(), 0
         self.leader, self.leadership, self.bytes_since_checkpoint = '', None, 0
+        # `checkpoint_taken(machine, rows)` is told of each checkpoint, where the simulator looks at them
+        self.checkpoint_taken = None
         # whether the process was told to end, and whether a leader has said that it is not needed any more
         self.leaving, self.released = False, False
         self.log, self.rows, self.snapshot_parts, self.snapshot_transfer = Log(), {}, [], None
--- a/asterwharf/consensus/snapshot.py
+++ b/asterwharf/consensus/snapshot.py
@@ -29,6 +29,8 @@
                 self.rows.pop(key, None)
             else:
                 self.rows[key] = value
+        if self.checkpoint_taken:
+            self.checkpoint_taken(self.machine, self.rows)
         self.log.move_snapshot(self.commit_index)
         self.bytes_since_checkpoint = 0
         batch.drop = self._cut()
--- a/asterwharf/orchard/yard.py
+++ b/asterwharf/orchard/yard.py
@@ -62,7 +62,8 @@
 
     # --- bookkeeping
     def _opened(self, j):
-        if j.over:
+        # not by what runs: a job that is loaded gets its runs only afterwards
+        if j.end:
             return
         self.open += 1
         if not j.begun and not j.fate:
@@ -216,6 +217,7 @@
             for t, r, mid in its:
                 if t.state == RUN:
                     t.spare = r, mid
+                    self.dirty.add(t.step.job.id)
                 else:
                     t.run, t.mid, t.stop = r, mid, False
                     self.move(t, RUN)
--- a/asterwharf/orchard/yard_rows.py
+++ b/asterwharf/orchard/yard_rows.py
@@ -50,3 +50,18 @@
         }
         self.dirty = set()
         return out | self.drain_rows()
+
+    def replicated_state(self):
+        """All that decides or is shown, as plain values: the same on every replica that is as far in the log."""
+        return {
+            'jobs': {i: j.dump() for i, j in self.jobs.items()},
+            'busy': {i: j.busy for i, j in self.jobs.items()},
+            'open': self.open,
+            'waiting': {place: count for place, count in self.waiting.items() if count},
+            'timed': set(self.timed),
+            'ready': {key: step.ready for key, step in self.ready.items()},
+            'left': {(j.id, s.k, s.n): s.left for j in self.jobs.values() for steps in j.live.values() for s in steps},
+            'on': {minion: {k: self.run_of(t, minion) for k, t in runs.items()} for minion, runs in self.on.items()},
+            'used': self.used,
+            'drains': self.drains,
+        }
--- a/asterwharf/scheduler/cell_rows.py
+++ b/asterwharf/scheduler/cell_rows.py
@@ -66,6 +66,25 @@
         if not j.over:
             self.open[j.tenant] = self.open.get(j.tenant, 0) + 1
 
+    def replicated_state(self):
+        """All that decides or is shown, as plain values: the same on every replica that is as far in the log."""
+        return {
+            'jobs': {k: j.dump() | {'tasks': list(j.tasks)} for k, j in self.jobs.items()},
+            'tasks': {k: t.dump() for k, t in self.tasks.items()},
+            'states': {k: state for state, tasks in self.by.items() for k in tasks},
+            'open': {tenant: count for tenant, count in self.open.items() if count},
+            'use': {tenant: cores for tenant, cores in self.use.items() if cores},
+            'minions': {k: m.dump() for k, m in self.minions.items()},
+            'loads': {k: m.load for k, m in self.minions.items()},
+            'gone': {number: marks for number, marks in self.gone.items() if marks},
+            'sequence': self.sequence,
+            'emptied': self.emptied,
+            'leaving': self.leaving,
+            'yielded': self.yielded,
+            'owned': self.owned,
+            'parcels': self.parcels,
+        }
+
     def delta(self):
         """Rows changed since the last call; None where a row is no more."""
         out = {k: self._raw(k) for k in sorted(self.dirty)}
--- a/asterwharf/scheduler/claims.py
+++ b/asterwharf/scheduler/claims.py
@@ -158,6 +158,7 @@
                 self.move(t, RUNNING, 'started', at)
             elif t.state == RECOVERING:
                 t.pre, t.boot = RUNNING, i['why']
+                self.dirty.add(f'job:{t.job.key}')
             return
         if wht in ('done', 'failed'):
             return self.outcome(t, wht == 'done', i['why'], at)
--- a/asterwharf/scheduler/configuration/accepted_orders.py
+++ b/asterwharf/scheduler/configuration/accepted_orders.py
@@ -40,6 +40,10 @@
         """The digests, oldest first."""
         return self._orders.keys()
 
+    def acceptances(self):
+        """(digest, what it became), oldest first."""
+        return list(self._orders.items())
+
     def number(self, digest):
         """The version that the order became; None where it isn't known as accepted."""
         got = self._orders.get(digest)
--- a/asterwharf/scheduler/configuration/state_machine.py
+++ b/asterwharf/scheduler/configuration/state_machine.py
@@ -47,6 +47,18 @@
             else:
                 self.atlas.merge([(d['k'], d['op'], d['v'])])
 
+    def replicated_state(self):
+        """All that decides or is shown, as plain values: the same on every replica that is as far in the log."""
+        return {
+            'configuration': self.conf,
+            'directory': self.atlas.rows,
+            'cells': self.atlas.cells,
+            'owners': self.atlas.own,
+            'emptied': self.atlas.emptied,
+            'top': self.atlas.top,
+            'accepted': self.accepted.acceptances(),
+        }
+
     def delta(self):
         """Rows changed since the last call; None where a row is no more."""
         out = self.accepted.changes(self.floor)
--- a/asterwharf/sim/scenario_run.py
+++ b/asterwharf/sim/scenario_run.py
@@ -93,6 +93,7 @@
     f.obs.count.update({f'suspected_{k}': v for k, v in f.w.sight.items()})
     why += [w for w in (c() for c in f.checks) if w]
     why += sorted({r for _, r, _ in f.obs.broken})
+    why += filter(None, [f.w.replica_watch.verdict()])
     return Result(name, seed, f, why)
 
 
--- a/asterwharf/sim/world.py
+++ b/asterwharf/sim/world.py
@@ -7,6 +7,7 @@
 import random
 
 from asterwharf.sim.hosts import Conn, Disk, Host
+from asterwharf.sim.replica_watch import ReplicaWatch
 from asterwharf.wire import kinds  # noqa: F401
 from asterwharf.wire.schema import pack, speaks, unpack
 
@@ -25,7 +26,7 @@
         self.log, self.count, self.loss, self.dup, self.lag = [], {}, 0.0, 0.0, (1, 4)
         self.broke, self.sight = 3000, {'true': 0, 'false': 0}
         # told the name of each process that dies; syncs of all disks
-        self.ended, self.syncs = [], 0
+        self.ended, self.syncs, self.replica_watch = [], 0, ReplicaWatch()
 
     # --- time
     def at(self, t, fn, *args):
@@ -86,6 +87,7 @@
             h.disk = Disk(self._inc())
         inc = h.disk.inc
         h.node = h.build(h, inc, random.Random(self.rng.getrandbits(64)), *self.clocks(h))
+        self.replica_watch.watch(name, h.node)
         self.say(name, 'start')
         self._tick(h, h.life)
 
--- a/asterwharf/sim/yard_days.py
+++ b/asterwharf/sim/yard_days.py
@@ -110,6 +110,7 @@
             self.fault = traceback.format_exc(limit=-6)
         self.took = time.perf_counter() - beg
         self.broken = list(self.fleet.obs.broken)
+        self.broken += [(self.fleet.w.t, 'REPLICAS', d) for d in self.fleet.w.replica_watch.differences]
         return self
 
     def _play(self, faults, closing):
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -209,3 +209,15 @@
     self.busy = self.cell.order(
         't_place', {'at': at, 'sequence': self.b.config.sequence, 'bundles': bundles, 'apart': False}, done
     )
+
+
+def test_a_start_told_while_its_link_is_down_is_on_record_after_a_checkpoint():
+    """Guards against the cause of review/3 here: a restarted replica took a running round for one that never began."""
+    b = Bench([{'name': 'a', 'cores': 1}])
+    b.place()
+    b.do('t_down', minion='m0', link=b.m.minions['m0'].link, why='cut', purpose=False, at=3)
+    rows = b.m.delta()
+    b.tell('started')
+    restarted = Cell()
+    restarted.load(rows | b.m.delta())
+    assert restarted.tasks['ten/j/a'].pre == b.t().pre == 'running'
--- a/tests/test_yard.py
+++ b/tests/test_yard.py
@@ -204,6 +204,32 @@
     assert y.job().state == 'finished' and not y.y.on and not y.y.used
 
 
+def test_a_copy_is_on_record_after_a_checkpoint(y):
+    """Guards against review/3: a checkpoint forgot a copy, and after a restart work that had ended ran again."""
+    y.submit(steps=[{'count': 1, 'copies': True}, {'count': 1, 'after': [0]}])
+    y.start((T0, 1, 'm1'))
+    rows = y.y.delta()
+    y.start((T0, 2, 'm2'))
+    restarted = Yards()
+    restarted.y.load(rows | y.y.delta())
+    for replica in (y, restarted):
+        replica.end('m2', T0, 2, 'done')
+        assert replica.y.task(T0).state == DONE and not replica.y.on
+        assert replica.start((f'{A}.0.1.0', 1, 'm1')) and not replica.start((T0, 3, 'm1'))
+
+
+def test_a_job_whose_last_runs_are_being_stopped_is_open_after_a_restart(y):
+    """Guards the bound on open jobs: a restarted replica left such jobs out and counted below zero when they ended."""
+    y.submit()
+    y.start((T0, 1, 'm1'))
+    y.do('y_cancel', id=A, queue='q')
+    restarted = Yards()
+    restarted.y.load(y.y.delta())
+    assert y.y.open == restarted.y.open == 1
+    restarted.end('m1', T0, 1, 'stopped')
+    assert restarted.y.open == 0
+
+
 def test_no_copy_of_work_that_may_not_be_repeated(y):
     y.submit()
     y.start((T0, 1, 'm1'))
