--- a/asterwharf/base/settings.py
+++ b/asterwharf/base/settings.py
@@ -56,6 +56,10 @@
     chunk: int = 262144
 
 
+# a start with the longest payload and checkpoint, 4,000 bytes each, all of them control characters, in an eighth of it
+LEAST_ANSWER_BYTES = 1 << 19
+
+
 @dataclass(frozen=True)
 class Calls:
     """Minions that call in by themselves, and their runs: bounds in milliseconds."""
@@ -80,6 +84,8 @@
     drain_ms: int = 2000
     evacuate_ms: int = 5000
     leave_grace_ms: int = 1000
+    # the largest answer that a minion takes, bytes of its body as sent
+    answer_bytes: int = 4 << 20
     # for trials only: mechanisms that are switched off, by the names of base/mechanisms.py
     without: list[str] = field(default_factory=list)
 
@@ -164,6 +170,8 @@
         bad.append('view.beat_ratio: at most 0.34, so that two beats may be lost')
     if s.call.hold_ms > s.call.max_hold_ms:
         bad.append('call.hold_ms: at most max_hold_ms, or minions cut it short')
+    if s.call.answer_bytes < LEAST_ANSWER_BYTES:
+        bad.append(f'call.answer_bytes: at least {LEAST_ANSWER_BYTES}, or an answer has no room for a start')
     bad += [f'call.without: {name!r} is no mechanism' for name in unknown(s.call.without)]
     if s.log_level not in ('debug', 'info', 'warning', 'error'):
         bad.append('log_level: one of debug, info, warning, error')
--- a/asterwharf/orchard/tender.py
+++ b/asterwharf/orchard/tender.py
@@ -7,6 +7,7 @@
 import heapq
 
 from asterwharf.base.board import Controller
+from asterwharf.orchard import answer_size
 from asterwharf.orchard.minion_link import CLOSED, DISCONNECTED, RECOVERING, REGISTERED, REGISTERING, Link
 
 # a minion's clock may be slow by this much
@@ -20,6 +21,8 @@
 # of the time between beats: silence after which a minion gets no starts, after which starts it was never told are
 # taken back, and after which its runs recover
 FRESH, OVERDUE, SILENT = 0.4, 0.5, 2.0
+# of the bytes that a minion takes in an answer: what is sent at most, so that it arrives in time on a slow link, too
+ANSWER = 0.25
 # of the silence bound: how long after an answered beat was sent holds may still be given
 LEASE = 0.8
 
@@ -219,6 +222,8 @@
         give, l.give = l.give, None
         if l.state == REGISTERING:
             l.turn(REGISTERED)
+        # what does not fit comes with the next answer
+        start, stop = answer_size.shared(start, stop, int(self.b.set.call.answer_bytes * ANSWER))
         l.answered = self.b.now
         l.lapse = max(l.lapse, l.recv + int(self.hold_ms / DRIFT) + 1)
         self.b.count['starts'] += len(start)
--- a/asterwharf/sim/yard_clients.py
+++ b/asterwharf/sim/yard_clients.py
@@ -18,6 +18,8 @@
 
 # from here on the sizes of a step's tasks are drawn lognormally, with this as the spread of the logarithm
 VERY_UNEVEN = 0.5
+# the longest text in bytes, of how many jobs one has it, and what it is made of: each letter takes more bytes as sent
+TEXT_BYTES, LONG_TEXTS, LETTERS = 4000, 12, ('x', '"', '\u0175', '\x01', '\U0001f30a')
 
 
 def draw(rng, mean, spread, most):
@@ -28,6 +30,14 @@
     return min(most, mean * math.exp(rng.gauss(0, s) - s * s / 2))
 
 
+def text(name, jid, number):
+    """The text of a job: mostly short, of each so many one of the longest size, in all kinds of letters in turn."""
+    if number % LONG_TEXTS:
+        return f'{name} {jid}'
+    unit = LETTERS[number // LONG_TEXTS % len(LETTERS)]
+    return unit * (TEXT_BYTES // len(unit.encode()))
+
+
 class Maker:
     """Draws jobs of a kind that the site's minions can do."""
 
@@ -58,7 +68,7 @@
             mean = draw(r, kind.work_ms, kind.spread, kind.work_ms * 2.5)
             works.append([max(30, int(mean * self._size(kind.uneven, r))) for _ in range(steps[-1]['count'])])
             steps[-1]['estimate_ms'] = max(1, int(mean * math.exp(r.uniform(-1, 1) * kind.off)))
-        spec = {'payload': f'{kind.name} {jid}', 'steps': steps}
+        spec = {'payload': text(kind.name, jid, self.n), 'steps': steps}
         if kind.timed and r.random() < kind.timed:
             spec.update(
                 times=r.randint(1, kind.times),
--- a/asterwharf/sim/yard_minion.py
+++ b/asterwharf/sim/yard_minion.py
@@ -3,15 +3,24 @@
 The words are the product's (docs/design/platform.md); the manner is the users' PROTOCOL.md, line by line.
 """
 
+from asterwharf.base.encoding import encoded
 from asterwharf.sim.yard_calls import CLOSED, find
 from asterwharf.sim.yard_work import Run, parse
 
 # an answer later than this is dropped; of the ends, how many go in one beat; after an end, the wait until the next beat
 ANSWER, MOST, SOON = 1000, 500, 50
+# the largest answer it takes, in bytes as sent; one with fewer starts and stops than this can't be larger
+MOST_BYTES, FEW = 4 << 20, 80
 # the pause before the next node after a failure: it grows up to a second
 PAUSE, PAUSES = 60, 4
 
 
+def _too_large(body):
+    if len(body.get('start', ())) + len(body.get('stop', ())) < FEW:
+        return False
+    return len(encoded(body)) > MOST_BYTES
+
+
 class Minion:
     """One life of a minion: a crash ends it, and another comes back under a new id."""
 
@@ -175,7 +184,7 @@
         if what == 'leave':
             self.left = code == 'ok'
             return self._gone()
-        if code != 'ok':
+        if code != 'ok' or _too_large(body or {}):
             return self._failed(code)
         self.fails = 0
         if not self.addr:
