--- a/asterwharf/base/settings.py
+++ b/asterwharf/base/settings.py
@@ -86,6 +86,8 @@
     leave_grace_ms: int = 1000
     # the largest answer that a minion takes, bytes of its body as sent
     answer_bytes: int = 4 << 20
+    # how many ends a minion lists in one beat; the rest come again
+    listed_ends: int = 500
     # for trials only: mechanisms that are switched off, by the names of base/mechanisms.py
     without: list[str] = field(default_factory=list)
 
--- a/asterwharf/orchard/kinds.py
+++ b/asterwharf/orchard/kinds.py
@@ -10,7 +10,9 @@
 kind(162, 'y_due', (4, {'items': [{'id': 's', 'k': 'l'}], 'at': 'l'}))
 kind(163, 'y_start', (4, {'at': 'l', 'bundles': [{'items': [dict(_RUN, mid='s')]}]}))
 kind(164, 'y_end', (4, {'at': 'l', 'mid': 's', 'items': [dict(_RUN, how='s', save='s')]}))
-kind(165, 'y_lapse', (4, {'at': 'l', 'items': [dict(_RUN, mid='s', how='s', save='s')]}))
+_LAPSE = {'at': 'l', 'items': [dict(_RUN, mid='s', how='s', save='s')]}
+# `late`: an end of these runs that is told later counts, however they were given up
+kind(165, 'y_lapse', (4, _LAPSE), (6, dict(_LAPSE, late='b')))
 kind(166, 'y_stop', (4, {'at': 'l', 'items': [_RUN]}))
 kind(167, 'y_forget', (4, {'ids': 'S'}))
 kind(168, 'y_drain', (4, {'minion': 's', 'on': 'b', 'by': 's', 'at': 'l', 'until': 'l'}))
--- a/asterwharf/orchard/minion_link.py
+++ b/asterwharf/orchard/minion_link.py
@@ -69,6 +69,7 @@
         'running',
         'state',
         'timers',
+        'unlisted',
         'zone',
     )
 
@@ -82,6 +83,30 @@
         # old: runs on record when this view began; an earlier holder may have told them after the beat that we hear,
         # for a beat may have lain in a cut connection: until `bound` only a listing or an end settles them
         self.old, self.bound = {}, 0
+        # unlisted: runs that the last beat showed neither as running nor as ended, while it had no place for all ends
+        self.unlisted = {}
+
+    def shows(self, task, run):
+        """Whether the last beat had this run among those that run or that have ended."""
+        return self.running.get(task, (0,))[0] == run or self.ended.get(task) == run
+
+    def take_lists(self, running, finished, most_ends):
+        """Takes over what a beat lists; of its ends it has a place for `most_ends`.
+
+        A run that is not listed never began, or its end is noted, but where the list of ends is full: then it may be
+        one of those that have no place.
+        """
+        told = self.old | self.unlisted | self.held
+        self.running = {r[0]: (r[1], r[2], r[3]) for r in running}
+        self.ended = {f[1]: f[2] for f in finished}
+        full = len(finished) >= most_ends
+        self.unlisted = {k: r for k, r in told.items() if not self.shows(k, r)} if full else {}
+        self.old = {k: r for k, r in self.old.items() if not self.shows(k, r)}
+        self.held = {k: r[0] for k, r in self.running.items()}
+
+    def may_hold(self, task):
+        """Whether a run of the task may have begun here, or what became of it is being settled."""
+        return any(task in runs for runs in (self.held, self.ended, self.unlisted, self.gave, self.old))
 
     def progress(self, now):
         """Follows how far each run has come."""
--- a/asterwharf/orchard/tender.py
+++ b/asterwharf/orchard/tender.py
@@ -139,7 +139,9 @@
         l.group, l.zone, l.labels = d['group'], d['zone'], d['labels']
         l.kind, l.rack = (list(l.labels) + ['', ''])[:2]
         l.room = d['cpu'], d['mem'], d['gpus']
-        l.running = {r[0]: (r[1], r[2], r[3]) for r in d['running']}
+        # reconciliation: what the minion says it runs needs no recovery any more
+        l.timers = {}
+        l.take_lists(d['running'], d['finished'], self.b.set.call.listed_ends)
         l.progress(now)
         if d['state'] == 'draining':
             l.drain = l.drain or now
@@ -152,11 +154,6 @@
             if was == RECOVERING or new:
                 self.b.count['gaps'] += 1
                 self.b.log('info', 'gap', minion=l.mid, outage_ms=gap, ends=new, running=len(l.running))
-        # reconciliation: what the minion says it runs needs no recovery any more
-        l.timers = {}
-        l.ended = {f[1]: f[2] for f in d['finished']}
-        l.old = {k: r for k, r in l.old.items() if l.running.get(k, (0,))[0] != r and l.ended.get(k) != r}
-        l.held = {k: r[0] for k, r in l.running.items()}
         box = self.mac.on.get(l.mid, {})
         l.gave = {k: r for k, r in l.gave.items() if k in box and self.mac.run_of(box[k], l.mid) == r}
 
@@ -192,8 +189,8 @@
             if rep is not None and rep[0] == run:
                 if off:
                     stop.append([k, run])
-            # ended there, or given up by a change that is under way: no start may be told any more
-            elif l.ended.get(k) == run or l.gave.get(k) == run:
+            # ended there, perhaps ended, or given up by a change that is under way: no start may be told any more
+            elif run in (l.ended.get(k), l.unlisted.get(k), l.gave.get(k)):
                 continue
             elif off or no:
                 if l.old.get(k) == run:
@@ -211,7 +208,7 @@
     def _answer(self, l):
         start, stop, never = self._orders(l)
         # not in the minion's own list, and every earlier answer is spent: it never began there
-        if never and self.cell.order('y_lapse', {'at': self.cell.wall, 'items': never}):
+        if never and self.cell.order('y_lapse', {'at': self.cell.wall, 'items': never, 'late': True}):
             l.gave.update((i['task'], i['run']) for i in never)
         late = self.b.now >= l.due
         if not (start or stop or late or l.drain) or (l.noting > l.noted and not late):
@@ -305,9 +302,9 @@
         items = [
             {'task': k, 'run': mac.run_of(t, l.mid), 'mid': l.mid, 'how': 'never', 'save': ''}
             for k, t in mac.on.get(l.mid, {}).items()
-            if not any(k in x for x in (l.held, l.ended, l.gave, l.old))
+            if not l.may_hold(k)
         ]
-        if items and self.cell.order('y_lapse', {'at': self.cell.wall, 'items': items}):
+        if items and self.cell.order('y_lapse', {'at': self.cell.wall, 'items': items, 'late': True}):
             l.gave.update((i['task'], i['run']) for i in items)
             self.b.count['untold'] += len(items)
 
--- a/asterwharf/orchard/yard.py
+++ b/asterwharf/orchard/yard.py
@@ -265,13 +265,13 @@
         return True
 
     def y_lapse(self, d):
-        """Runs whose holds have all run out, or that certainly never began (`how`)."""
+        """Runs whose holds have all run out, or that certainly never began (`how`); `late`: if they end all the same, it counts."""
         for i in d['items']:
             t = self.task(i['task'])
             if t is None or self.run_of(t, i['mid']) != i['run']:
                 continue
             self._keep(t, i['save'])
-            if i['how'] == 'lapsed':
+            if i['how'] == 'lapsed' or d['late']:
                 t.lapsed = (t.lapsed + (i['run'],))[-8:]
             self._drop(t, i['mid'], i['run'], d['at'], i['how'])
         return True
--- a/asterwharf/wire/schema.py
+++ b/asterwharf/wire/schema.py
@@ -13,7 +13,7 @@
 HEAD = struct.Struct('>HB')
 KINDS, IDS = {}, {}
 # what this release speaks; a peer's is in its hello
-PROTO = 5
+PROTO = 6
 
 _PLAIN = {
     's': 'string',
--- a/tests/replica_histories.py
+++ b/tests/replica_histories.py
@@ -141,7 +141,7 @@
         if run is not None:
             how = pick(('lapsed', 'never'), b)
             item = {'task': run[0], 'run': run[1], 'mid': run[2], 'how': how, 'save': pick(('', 's3'), c)}
-            self.change('y_lapse', items=[item])
+            self.change('y_lapse', items=[item], late=c % 2 == 0)
 
     def y_stop(self, a, b, c):
         run = pick(self._runs(), a)
--- a/tests/test_queues_fleet.py
+++ b/tests/test_queues_fleet.py
@@ -366,6 +366,7 @@
     )
 
 
-def test_an_edge_of_an_older_release_serves_on_beside_it():
-    f = fleet(14, olds={'e1': PROTO - 1})
+@pytest.mark.parametrize('old', [PROTO - 2, PROTO - 1])
+def test_an_edge_of_an_older_release_serves_on_beside_it(old):
+    f = fleet(14, olds={'e1': old})
     assert put(f, doc(1), 0, 'e1')[0] == 'ok' and ask(f, 'queues_get', 'e1')[1]['doc'] == doc(1)
--- a/tests/test_request_routing.py
+++ b/tests/test_request_routing.py
@@ -7,7 +7,7 @@
 from asterwharf.base.board import Board
 from asterwharf.base.settings import Settings
 from asterwharf.scheduler.atlas import Atlas
-from asterwharf.scheduler.request_router import RequestRouter
+from asterwharf.scheduler.request_router import CLOCKED, RequestRouter
 from asterwharf.sim.fleet import Fleet
 from asterwharf.wire.schema import PROTO
 
@@ -153,7 +153,7 @@
     [(node, _)] = r.start('y_submit', id='a')
     assert node != 't0'
     # an earlier release tells no clock and knows no deadline
-    r.board.links['t0']['proto'] = PROTO - 1
+    r.board.links['t0']['proto'] = CLOCKED - 1
     [(node, request)] = r.start('y_submit', id='b')
     assert node == 't0' and not request['deadline']
 
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -62,8 +62,9 @@
         'agent_frozen_long',
     ],
 )
-def test_an_older_core_node_edge_and_agent_stand_the_corner_cases_among_newer_ones(scen):
-    olds = {'t1': PROTO - 1, 'e0': PROTO - 1, 'm0': PROTO - 1}
+@pytest.mark.parametrize('old', [PROTO - 2, PROTO - 1])
+def test_an_older_core_node_edge_and_agent_stand_the_corner_cases_among_newer_ones(scen, old):
+    olds = {'t1': old, 'e0': old, 'm0': old}
     r = scenario_run.run(scen, 5, olds=olds)
     # the rules that came with this release wait until every seat knows them
     late = {'started again after it ended done'}
--- a/tests/yard_cell.py
+++ b/tests/yard_cell.py
@@ -17,6 +17,8 @@
     ],
     'groups': [{'name': 'g'}],
 }
+# the users' pages: so many ends go in one beat, the rest come again
+LISTED_ENDS = 500
 A, B, C = (c * 16 for c in 'abc')
 
 
@@ -172,7 +174,10 @@
         c.tender.beat(
             self.mid,
             dict(
-                self.fix, count=self.count, running=[[k, *r] for k, r in self.runs.items()], finished=list(self.ended)
+                self.fix,
+                count=self.count,
+                running=[[k, *r] for k, r in self.runs.items()],
+                finished=self.ended[:LISTED_ENDS],
             ),
             give,
         )
