--- a/asterwharf/door/routes.py
+++ b/asterwharf/door/routes.py
@@ -123,10 +123,12 @@
 
 
 def _queue_job(e):
-    """The identifier of a queue's job must be one."""
-    return (
-        None if ID.match(e.args['id']) else trouble('bad_field', f'id: {e.args["id"]!r} is not 16 digits from 0 to f')
-    )
+    """The identifier of a queue's job must be one; the queue's place is looked up by the document in force here."""
+    if not ID.match(e.args['id']):
+        return trouble('bad_field', f'id: {e.args["id"]!r} is not 16 digits from 0 to f')
+    queue = e.b.atlas.queues and e.b.atlas.queues.queue(e.args['queue'])
+    e.args['place'] = queue.place if queue else ''
+    return None
 
 
 def _queue_submit(e):
@@ -143,9 +145,7 @@
     res = spec(e.doc)
     if res.is_error():
         return res.error
-    e.args.update(
-        spec=res.ok, queue={k: getattr(q, k) for k in ('name', 'group', 'priority', 'tries', 'stretch', 'aim_ms')}
-    )
+    e.args.update(spec=res.ok, queue=q.terms())
     return None
 
 
--- a/asterwharf/orchard/gate.py
+++ b/asterwharf/orchard/gate.py
@@ -3,6 +3,7 @@
 import hashlib
 import json
 
+from asterwharf.orchard.job_lookup import asked_for
 from asterwharf.orchard.views import Views
 from asterwharf.scheduler.handlers.base import NOBODY
 from asterwharf.scheduler.request_handlers import RequestHandlers
@@ -46,7 +47,7 @@
         sm = hashlib.sha256(json.dumps(a['spec'], sort_keys=True).encode()).hexdigest()[:24]
         old = mac.jobs.get(a['id'])
         if old is not None:
-            same = old.sum == sm and old.queue == a['queue']['name']
+            same = old.sum == sm and old.is_at(a['queue']['name'], a['queue'].get('place', ''))
             return give('same') if same else self._sure(cell, give, lambda: give('other_body'))
         if mac.open >= self.b.set.kept_jobs or len(cell.replica.pending) >= self.b.set.request_limit:
             # a deposed holder must not refuse what its successor may have taken
@@ -58,8 +59,8 @@
 
     def do_y_state(self, a, give, cell):
         def fn():
-            j = cell.mac.jobs.get(a['id'])
-            if j is None or j.queue != a['queue']:
+            j = asked_for(cell.mac, a)
+            if j is None:
                 return give('unknown_job')
             give('ok', {'state': j.state})
 
@@ -67,17 +68,18 @@
 
     def do_y_cancel(self, a, give, cell):
         def fn():
-            j = cell.mac.jobs.get(a['id'])
-            if j is None or j.queue != a['queue']:
+            j = asked_for(cell.mac, a)
+            if j is None:
                 return give('unknown_job')
-            self._order(
-                cell, 'y_cancel', {'id': a['id'], 'queue': a['queue'], 'at': cell.wall}, give, lambda r: give(r)
-            )
+            doc = {'id': a['id'], 'queue': a['queue'], 'place': a.get('place', ''), 'at': cell.wall}
+            self._order(cell, 'y_cancel', doc, give, lambda r: give(r))
 
         self._sure(cell, give, fn)
 
     def do_y_waiting(self, a, give, cell):
-        self._sure(cell, give, lambda: give('ok', {'waiting': cell.mac.waiting.get(a['queue'], 0)}))
+        # jobs of an earlier release are counted by the queue's name until they have a place
+        addresses = {a['queue'], a.get('place') or a['queue']}
+        self._sure(cell, give, lambda: give('ok', {'waiting': sum(cell.mac.waiting.get(at, 0) for at in addresses)}))
 
     def tick(self):
         """Ended jobs are remembered for a time, then forgotten."""
@@ -87,6 +89,19 @@
         keep = self.b.set.call.status_ms * KEEP
         self.swept = self.b.now + keep / 20
         at = part.member.wall
+        self._place(part.member)
         old = [j.id for j in part.member.mac.jobs.values() if j.end and at - j.end > keep]
         if old:
             part.member.order('y_forget', {'ids': old[:1000]})
+
+    def _place(self, member):
+        """Gives jobs of an earlier release the places of their queues, before an operator renames one."""
+        names = {j.queue for j in member.mac.jobs.values() if not j.place}
+        queues = self.b.atlas.queues if names else None
+        if queues is None:
+            return
+        known = [queues.queue(name) for name in sorted(names)]
+        places = [{'name': q.name, 'place': q.place} for q in known if q is not None]
+        if places:
+            # false while a member of an earlier release is in the group
+            member.order('y_place', {'queues': places})
--- a/asterwharf/orchard/model.py
+++ b/asterwharf/orchard/model.py
@@ -127,6 +127,7 @@
         'live',
         'next',
         'payload',
+        'place',
         'prio',
         'queue',
         'spec',
@@ -158,14 +159,26 @@
         'next',
         'done',
         'sum',
+        'place',
     )
 
     def __init__(self, **kws):
+        # rows of an earlier release name no place
+        kws.setdefault('place', '')
         for k in self.FIELDS:
             setattr(self, k, kws[k])
         # live: time -> its steps; busy: runs not known to have ended
         self.live, self.busy = {}, 0
 
+    @property
+    def address(self):
+        """Where its client handed it in: the place, or the queue's name for a job of an earlier release."""
+        return self.place or self.queue
+
+    def is_at(self, queue, place):
+        """Whether a caller means this job who asks at a place, or at a queue by its name."""
+        return self.place == place if self.place and place else self.queue == queue
+
     @property
     def state(self):
         if self.fate:
@@ -195,6 +208,7 @@
     return Job(
         id=doc['id'],
         queue=q['name'],
+        place=q.get('place', ''),
         group=q['group'],
         prio=q.get('priority', 0),
         tries=q.get('tries', 1),
--- a/asterwharf/orchard/policy.py
+++ b/asterwharf/orchard/policy.py
@@ -89,7 +89,7 @@
     __slots__ = ('at', 'b', 'by', 'classes', 'due', 'left', 'op', 'rules', 'short', 'want')
 
     def __init__(self, b):
-        # by: queue -> its rule; classes: what is known of minions -> a number that stands for it
+        # by: place or name of a queue -> its rule; classes: what is known of minions -> a number that stands for it
         self.b, self.op, self.rules, self.by, self.want, self.due = b, 0, {}, {}, [], 0
         self.classes, self.left, self.short, self.at = {}, MOST, False, -1
 
@@ -115,7 +115,9 @@
         qs = self.b.atlas.queues
         same = {tuple(r.src.items()): r for r in old.values()}
         self.rules = {n: same.get(tuple(p.items())) or Rule(p) for n, p in qs.policies.items()}
-        self.by = {q.name: self.rules[q.policy] for q in qs.queues.values() if q.policy in self.rules}
+        judged = [q for q in qs.queues.values() if q.policy in self.rules]
+        # jobs of an earlier release know their queue's name alone
+        self.by = {address: self.rules[q.policy] for q in judged for address in (q.name, q.place)}
         self.want = [r for r in dict.fromkeys(self.by.values()) if not r.made]
         self.due = self.b.now + int(self.b.rng.random() * SPREAD * self.b.set.view.silence_ms) if self.want else 0
 
@@ -146,11 +148,11 @@
 
     def rule(self, s):
         """The rule of a step's queue, or None: then nothing is evaluated."""
-        return self.by.get(s.job.queue) if self.by else None
+        return self.by.get(s.job.address) if self.by else None
 
     def key(self, s):
         """Tells steps apart that policies may tell apart."""
-        return s.job.queue if self.by and s.job.queue in self.by else ''
+        return s.job.address if self.by and s.job.address in self.by else ''
 
     def may(self, s, l):
         """Whether a task of this step may land on the minion of this link."""
--- a/asterwharf/orchard/views.py
+++ b/asterwharf/orchard/views.py
@@ -6,6 +6,7 @@
 import heapq
 from collections import Counter
 
+from asterwharf.orchard.job_lookup import asked_for, queue_name
 from asterwharf.orchard.minion_link import REGISTERED, REGISTERING
 from asterwharf.orchard.model import NAMES, READY, RUN, WAIT
 from asterwharf.orchard.rooms import Rooms
@@ -31,6 +32,9 @@
         """Confirms the holder, then gathers: `steps` is a generator that yields between slices and returns the body."""
         self._sure(cell, give, lambda: self.b.chore(steps, lambda doc: give('ok', doc)))
 
+    def _queue_name(self, job):
+        return queue_name(self.b.atlas.queues, job)
+
     # --- jobs
     def do_jobs(self, a, give, cell):
         if a.get('tenant'):
@@ -40,14 +44,14 @@
     def _jobs(self, a, mac):
         got, n = [], 0
         for n, j in enumerate(list(mac.jobs.values()), 1):
-            if a.get('queue') in ('', None, j.queue) and a.get('state') in ('', None, j.state):
+            if a.get('queue') in ('', None, self._queue_name(j)) and a.get('state') in ('', None, j.state):
                 got.append(j)
             if n % SLICE == 0:
                 yield n
         total, rows, n = len(got), [], 0
         # only what is shown is put in order
         for j in heapq.nlargest(a.get('most', ROWS), got, key=lambda j: (j.at, j.id)):
-            rows.append(brief(j))
+            rows.append(brief(j, self._queue_name(j)))
             n += 1 + rows[-1]['tasks']
             if n >= SLICE:
                 yield n
@@ -56,8 +60,8 @@
 
     def do_y_job(self, a, give, cell):
         def fn():
-            j = cell.mac.jobs.get(a['id'])
-            if j is None or j.queue != a['queue']:
+            j = asked_for(cell.mac, a)
+            if j is None:
                 return give('unknown_job', {'details': [f'id: {a["id"]!r}']})
             self.b.chore(self._job(j), lambda doc: give('ok', doc))
 
@@ -65,7 +69,13 @@
 
     def _job(self, j):
         out = dict(
-            brief(j), group=j.group, priority=j.prio, tries=j.tries, times=j.times, times_done=j.done, payload=j.payload
+            brief(j, self._queue_name(j)),
+            group=j.group,
+            priority=j.prio,
+            tries=j.tries,
+            times=j.times,
+            times_done=j.done,
+            payload=j.payload,
         )
         rooms, steps, runs = Rooms(self.plot.placer), [], []
         stops = self.plot.late_jobs.stops(j)
@@ -229,7 +239,7 @@
         off = t.stop or bool(t.step.job.fate)
         return {
             'task': t.key,
-            'queue': t.step.job.queue,
+            'queue': self._queue_name(t.step.job),
             'run': run,
             'minion': mid,
             'copy': run != t.run,
@@ -251,7 +261,7 @@
 
         def row(j):
             return rows.setdefault(
-                j.queue, dict.fromkeys(('waiting', 'running', 'ended', 'tasks_ready', 'tasks_running'), 0)
+                self._queue_name(j), dict.fromkeys(('waiting', 'running', 'ended', 'tasks_ready', 'tasks_running'), 0)
             )
 
         for n, j in enumerate(list(mac.jobs.values()), 1):
@@ -327,13 +337,13 @@
     return ', '.join(f'{reason}: {count}' for reason, count in sorted(reasons.items()))
 
 
-def brief(j):
+def brief(j, queue):
     """A job in one row; times are ms since 1970."""
     tsk = left = 0
     for sts in j.live.values():
         tsk, left = tsk + sum(len(s.tasks) for s in sts), left + sum(s.left for s in sts)
     out = {
-        'queue': j.queue,
+        'queue': queue,
         'id': j.id,
         'state': j.state,
         'submitted_at': j.at,
--- a/asterwharf/orchard/yard.py
+++ b/asterwharf/orchard/yard.py
@@ -67,14 +67,17 @@
             return
         self.open += 1
         if not j.begun and not j.fate:
-            self.waiting[j.queue] = self.waiting.get(j.queue, 0) + 1
+            self._wait(j, 1)
         if j.times and j.next < j.times and not j.fate:
             self.timed[j.id] = j
 
+    def _wait(self, j, count):
+        self.waiting[j.address] = self.waiting.get(j.address, 0) + count
+
     def _begin(self, j):
         if not j.begun:
             j.begun = True
-            self.waiting[j.queue] -= 1
+            self._wait(j, -1)
 
     def _hold(self, t, mid):
         self.on.setdefault(mid, {})[t.key] = t
@@ -117,7 +120,8 @@
     def y_submit(self, d):
         j = self.jobs.get(d['id'])
         if j is not None:
-            return 'same' if j.sum == d['sum'] and j.queue == d['queue'][0]['name'] else 'other_body'
+            queue = d['queue'][0]
+            return 'same' if j.sum == d['sum'] and j.is_at(queue['name'], queue['place']) else 'other_body'
         j = self.jobs[d['id']] = build(d)
         self.dirty.add(j.id)
         self._opened(j)
@@ -168,11 +172,23 @@
         self.dirty.add(j.id)
         self.timed.pop(j.id, None)
         if not j.begun:
-            self.waiting[j.queue] -= 1
+            self._wait(j, -1)
+
+    def y_place(self, d):
+        """Jobs of an earlier release get the places that their queues have now; whether there were any."""
+        places = {queue['name']: queue['place'] for queue in d['queues']}
+        found = [j for j in self.jobs.values() if not j.place and j.queue in places]
+        for j in found:
+            waits = not j.begun and not j.fate
+            self._wait(j, -waits)
+            j.place = places[j.queue]
+            self._wait(j, waits)
+            self.dirty.add(j.id)
+        return bool(found)
 
     def y_cancel(self, d):
         j = self.jobs.get(d['id'])
-        if j is None or j.queue != d['queue']:
+        if j is None or not j.is_at(d['queue'], d['place']):
             return 'unknown_job'
         if not j.fate:
             self._doom(j, 'cancelled', 'cancelled by its client', d['at'])
--- a/asterwharf/scheduler/queues.py
+++ b/asterwharf/scheduler/queues.py
@@ -20,6 +20,8 @@
 MOST, SLICE, DEPTH = 20000, 1000, 64
 # placement policies in one document: each is compiled on every core node
 POLICIES = 100
+# of a queue: what its jobs keep from the moment when they are handed in
+TERMS = ('name', 'place', 'group', 'priority', 'tries', 'stretch', 'aim_ms')
 PROGRAMS = ('may_land', 'may_evict', 'score')
 # the largest whole number: every reader of JSON keeps it exactly, and it fits a record
 BIG = 1 << 53
@@ -43,6 +45,15 @@
     policy: str = ''
     more: dict = field(default_factory=dict)
 
+    @property
+    def place(self):
+        """Host and prefix: what a client knows of a queue, whatever the operators call it."""
+        return f'{plain(self.host)}{self.prefix}'
+
+    def terms(self):
+        """What a job takes along when it is handed in here."""
+        return {name: getattr(self, name) for name in TERMS}
+
 
 @dataclass(slots=True)
 class Group:
@@ -321,10 +332,10 @@
 class Queues:
     """A document in force, to be read only: all copies of a process share it. `find` is made for every request."""
 
-    __slots__ = ('_hosts', '_raw', 'groups', 'limits', 'number', 'policies', 'queues')
+    __slots__ = ('_hosts', '_places', '_raw', 'groups', 'limits', 'number', 'policies', 'queues')
 
     def __init__(self, raw):
-        self._raw, doc = raw, body(raw)
+        self._raw, self._places, doc = raw, None, body(raw)
         self.number = doc['number']
         self.queues = {v['name']: _made(Queue, v) for v in doc['queues']}
         self.groups = {v['name']: _made(Group, v) for v in doc['groups']}
@@ -347,6 +358,13 @@
     def queue(self, name):
         return self.queues.get(name)
 
+    def at(self, place):
+        """The queue at a place, or None."""
+        if self._places is None:
+            # most nodes never ask
+            self._places = {q.place: q for q in self.queues.values()}
+        return self._places.get(place)
+
     def group(self, name):
         return self.groups.get(name)
 
--- a/asterwharf/sim/yard_clients.py
+++ b/asterwharf/sim/yard_clients.py
@@ -155,13 +155,9 @@
             if got is None:
                 return give(NO_QUEUE)
             q = got[0]
-            if op == 'y_submit':
-                qs = {k: getattr(q, k) for k in ('name', 'group', 'priority', 'tries', 'stretch', 'aim_ms')}
-                args2 = dict(args, queue=qs)
-            else:
-                args2 = dict(args, queue=q.name)
+            where = {'queue': q.terms()} if op == 'y_submit' else {'queue': q.name, 'place': q.place}
             ttl = max(50, wait - MARGIN - (w.t - asked))
-            return find(node, 'RequestRouter').start(op, 'commons', args2, give, ttl)
+            return find(node, 'RequestRouter').start(op, 'commons', args | where, give, ttl)
 
         def got(code, body):
             if code in (SILENT, BROKEN, CLOSED):
--- a/asterwharf/sim/yard_operators.py
+++ b/asterwharf/sim/yard_operators.py
@@ -7,6 +7,8 @@
 
 # an operator's patience with one call (more for large bodies), and its pause before the next node
 WAIT, PAUSE, PAUSES = 1000, 100, 4
+# of so many changes of routes one gives a route another name
+RENAMES = 3
 # looks at every edge after a change: ms after its acknowledgement
 LOOKS = (200, 700, 1300, 2050, 2600, 4000)
 
@@ -98,6 +100,15 @@
             q = r.choice(qs)
             q['aim_ms'] += 100
             add.append(q)
+        elif how == 'route' and self.last % RENAMES == RENAMES - 1:
+            # the same place under another name
+            self.last += 1
+            # by names it is taken out and put in anew, behind the others
+            q = qs.pop(self.last % len(qs))
+            qs.append(q)
+            drop.append(q['name'])
+            q['name'] = f'{q["name"].partition("~")[0]}~{self.last}'
+            add.append(q)
         else:
             idle = [q for q in qs if q['name'].startswith('r-idle')]
             if idle and r.random() < 0.5:
--- a/tests/replica_histories.py
+++ b/tests/replica_histories.py
@@ -88,6 +88,7 @@
     machine_type, prefix = Yard, 'y_'
     IDS = tuple(c * 16 for c in 'abcd')
     QUEUE = {'name': 'q', 'group': 'g', 'priority': 1, 'tries': 2, 'stretch': 2.0, 'aim_ms': 1000}
+    PLACES = ('', 'a/q/', 'a/r/')
     STEPS = (
         [{'count': 1, 'cpu': 100, 'copies': True}],
         [{'count': 2, 'cpu': 100}],
@@ -113,7 +114,13 @@
     def y_submit(self, a, b, c):
         times = {'times': 3, 'first_ms': 1, 'every_ms': 1} if c % 4 == 0 else {}
         spec = {'payload': 'text', 'steps': self.STEPS[b % len(self.STEPS)]} | times
-        self.change('y_submit', id=pick(self.IDS, a), queue=[self.QUEUE], spec=spec, sum=str(b % 6))
+        self.change(
+            'y_submit',
+            id=pick(self.IDS, a),
+            queue=[self.QUEUE | {'place': pick(self.PLACES, c)}],
+            spec=spec,
+            sum=str(b % 6),
+        )
 
     def y_due(self, a, b, c):
         self.change('y_due', items=[{'id': pick(self.IDS, a), 'k': b % 3}])
@@ -149,7 +156,10 @@
             self.change('y_stop', items=[{'task': run[0], 'run': run[1]}])
 
     def y_cancel(self, a, b, c):
-        self.change('y_cancel', id=pick(self.IDS, a), queue='q')
+        self.change('y_cancel', id=pick(self.IDS, a), queue='q', place=pick(self.PLACES, b))
+
+    def y_place(self, a, b, c):
+        self.change('y_place', queues=[{'name': pick(('q', 'other'), a), 'place': pick(self.PLACES[1:], b)}])
 
     def y_forget(self, a, b, c):
         self.change('y_forget', ids=[pick(self.IDS, a)])
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -16,15 +16,26 @@
     a = Asked(f, 'POST', f'/lo/{ID}', JOB, x_asterwharf_time_left_ms='1500')
     op, grp, args, then, ttl = dmn.trips[0]
     assert (op, grp, args['id'], args['spec']) == ('y_submit', 'commons', ID, front.job(JOB)) and 1300 <= ttl < 1500
-    assert args['queue'] == {'name': 'r-a', 'group': 'hu', 'priority': 1, 'tries': 2, 'stretch': 2.2, 'aim_ms': 2000}
+    assert args['queue'] == {
+        'name': 'r-a',
+        'place': 'n.example/lo/',
+        'group': 'hu',
+        'priority': 1,
+        'tries': 2,
+        'stretch': 2.2,
+        'aim_ms': 2000,
+    }
     then('taken', {})
     assert a.status == 200
     a = Asked(f, 'GET', f'/lo/{ID}')
-    assert dmn.trips[1][:3] == ('y_state', 'commons', {'queue': 'r-a', 'id': ID}) and dmn.trips[1][4] < 3000
+    assert (
+        dmn.trips[1][:3] == ('y_state', 'commons', {'queue': 'r-a', 'place': 'n.example/lo/', 'id': ID})
+        and dmn.trips[1][4] < 3000
+    )
     dmn.trips[1][3]('ok', {'state': 'running'})
     assert a.got == [(200, {'state': 'running'}, {})]
     a = Asked(f, 'GET', '/pu/')
-    assert dmn.trips[2][:3] == ('y_waiting', 'commons', {'queue': 'r-b'})
+    assert dmn.trips[2][:3] == ('y_waiting', 'commons', {'queue': 'r-b', 'place': 'n.example/pu/'})
     dmn.trips[2][3]('ok', {'waiting': 12})
     assert a.got[0][1] == {'waiting': 12}
     a = Asked(f, 'DELETE', f'/lo/{ID}')
--- a/tests/yard_cell.py
+++ b/tests/yard_cell.py
@@ -111,8 +111,7 @@
         return code, body
 
     def queue(self, name):
-        q = self.b.atlas.queues.queue(name)
-        return {k: getattr(q, k) for k in ('name', 'group', 'priority', 'tries', 'stretch', 'aim_ms')}
+        return self.b.atlas.queues.queue(name).terms()
 
     def submit(self, jid=A, queue='q', **spec):
         spec.setdefault('steps', [{'count': 1, 'cpu': 1000}])
