--- a/asterwharf/orchard/minion_link.py
+++ b/asterwharf/orchard/minion_link.py
@@ -57,6 +57,7 @@
         'labels',
         'lapse',
         'leaves',
+        'left',
         'mid',
         'noted',
         'noting',
@@ -78,7 +79,10 @@
         self.give, self.due, self.lapse, self.noted, self.noting = None, 0, 0, 0, 0
         # held: what it runs or was told to since; gave: runs given up in a change that may not be delivered yet
         self.running, self.ended, self.timers, self.held, self.gave = {}, {}, {}, {}, {}
-        self.drain, self.leaves, self.group, self.zone, self.labels, self.rack, self.kind = 0, 0, '', '', (), '', ''
+        # drain: since when it gets no starts; leaves: when it is gone at the earliest; left: it has sent its leave
+        # without a word of draining before, and serves on for a time
+        self.drain, self.leaves, self.left = 0, 0, False
+        self.group, self.zone, self.labels, self.rack, self.kind = '', '', (), '', ''
         self.room, self.prog, self.past = (0, 0, 0), {}, {}
         # old: runs on record when this view began; an earlier holder may have told them after the beat that we hear,
         # for a beat may have lain in a cut connection: until `bound` only a listing or an end settles them
--- a/asterwharf/orchard/tender.py
+++ b/asterwharf/orchard/tender.py
@@ -58,7 +58,7 @@
         if l is not None and l.state == CLOSED and self._left(l, d):
             b.count['beats.left'] += 1
             return give('ok', {})
-        if l is None or l.state == CLOSED:
+        if l is None or l.state == CLOSED or self._begins_anew(l, d):
             l = self.links[mid] = Link(mid, now)
         if d['count'] <= l.count:
             # overtaken by a later one: nobody waits for this answer
@@ -81,6 +81,10 @@
         """Whether a beat behind a leave was sent before it: a process that begins anew counts from the start and runs nothing."""
         return d['count'] > l.count or d['state'] == 'draining' or bool(d['running'])
 
+    def _begins_anew(self, l, d):
+        """Whether a process that sent its leave, and of which nothing runs any more, is followed by another one."""
+        return l.left and not self.mac.on.get(l.mid) and not self._left(l, d)
+
     def _wait(self, l, now):
         """How long this beat may wait for something to tell, ms.
 
@@ -102,20 +106,33 @@
         return int(1000 * min(IDLE, max(BUSY, len(self.links) / BEATS)))
 
     def leave(self, mid, give):
-        """The minion ends in good order: the link is closed on purpose."""
+        """The minion leaves in good order: at once behind a drain, after a time where it never said that it drains."""
         if not self._acts():
             return self._elsewhere(give)
         l = self.links.get(mid)
         if l is not None and l.state != CLOSED:
-            if l.give is not None:
-                l.give('ok', {})
-                l.give = None
-            l.turn(CLOSED)
-            # what it may still hold dies with it, in a moment
-            l.lapse = min(l.lapse or self.b.now, self.b.now + self.b.set.call.stop_grace_ms)
             self.b.count['left'] += 1
+            if l.drain and not l.left:
+                self._close(l)
+            else:
+                self._serves_on(l)
         return give('ok', {})
 
+    def _close(self, l):
+        """It has served on since it said that it drains, and ends now: the link is closed on purpose."""
+        if l.give is not None:
+            l.give('ok', {})
+            l.give = None
+        l.turn(CLOSED)
+        # what it may still hold dies with it, in a moment
+        l.lapse = min(l.lapse or self.b.now, self.b.now + self.b.set.call.stop_grace_ms)
+
+    def _serves_on(self, l):
+        """It gets no start any more; holds that were given stand, and it goes on telling what ends."""
+        l.left, l.drain = True, l.drain or self.b.now
+        l.leaves = l.leaves or self.b.now + self.b.set.call.drain_ms
+        self.look.add(l.mid)
+
     def _acts(self):
         return self.cell.takes and self.term == self.cell.replica.view and self._leased()
 
@@ -146,7 +163,10 @@
         if d['state'] == 'draining':
             l.drain = l.drain or now
         left = d.get('leaves_at_ms')
-        l.leaves = now + left if left is not None and d['state'] == 'draining' else 0
+        if left is not None and d['state'] == 'draining':
+            l.leaves = now + left
+        elif not l.left:
+            l.leaves = 0
         if was in (DISCONNECTED, RECOVERING):
             l.turn(REGISTERING)
             new = sum(f[0] > l.noted for f in d['finished'])
--- a/asterwharf/sim/minion_faults.py
+++ b/asterwharf/sim/minion_faults.py
@@ -2,9 +2,12 @@
 
 from asterwharf.sim.fault_steps import mark, ms, part
 
+# of the minions that leave in good order, how many never say that they drain; ms that such a one serves on beyond the bound
+SAYS_NOTHING, SERVES_ON = 0.4, (200, 6000)
+
 
 def fit(day):
-    return [m for m in day.fleet.minions.values() if m.up and m.state == 'ready']
+    return [m for m in day.fleet.minions.values() if m.up and m.state == 'ready' and not m.leaving]
 
 
 def srv_crash(day):
@@ -62,6 +65,9 @@
     some = part(day, 0.065, fit(day)) if not n else day.rng.sample(fit(day), n)
     mark(day, 'scale_in', f.bounds.drain_ms + 3000)
     for m in some:
+        if day.rng.random() < SAYS_NOTHING:
+            m.leave_first(f.bounds.drain_ms + day.rng.randint(*SERVES_ON))
+            continue
         m.drain()
         beg = f.w.t
 
--- a/asterwharf/sim/yard_minion.py
+++ b/asterwharf/sim/yard_minion.py
@@ -46,6 +46,7 @@
         'id',
         'last',
         'leaves',
+        'leaving',
         'left',
         'machine',
         'n',
@@ -73,6 +74,8 @@
         self.runs, self.finished, self.barred, self.n, self.seen = {}, {}, {}, 0, 0
         self.fence, self.hold, self.holds, self.count, self.state, self.leaves = 0, 0.0, 0, 0, 'ready', None
         self.up, self.slow, self.hang, self.errors, self.left = True, 1.0, False, 0.0, False
+        # it sends its leave without a word before, and serves on
+        self.leaving = False
         # `out`: a call is under way; `last`: the number of ends when its beat was made up
         self.out, self.node, self.addr, self.fails, self.gen, self.sent, self.last, self.hops = (
             False,
@@ -96,7 +99,7 @@
     @property
     def sound(self):
         """Whether it works as it should, at its own speed, and stays."""
-        return self.slow == 1.0 and not self.hang and not self.errors and self.state == 'ready'
+        return self.slow == 1.0 and not self.hang and not self.errors and self.state == 'ready' and not self.leaving
 
     def set(self, **kws):
         """A trouble begins or ends: slow, hang, errors."""
@@ -183,7 +186,7 @@
             return self._call(self.fleet.at(body['address']), doc, what)
         if what == 'leave':
             self.left = code == 'ok'
-            return self._gone()
+            return self._plan(SOON) if self.leaving else self._gone()
         if code != 'ok' or _too_large(body or {}):
             return self._failed(code)
         self.fails = 0
@@ -209,9 +212,12 @@
         self._plan(min(1000, PAUSE << min(self.fails - 1, PAUSES)) if code != CLOSED or self.fails > 1 else SOON)
 
     def held(self):
-        """True ms for which the system must take it that its runs go on: until its hold is over, or a stop after a leave."""
+        """True ms for which the system must take it that its runs go on: until its hold is over.
+
+        One that has said that it drains ends with its leave.
+        """
         left = max(0.0, self.hold - self.now()) / self.clock
-        return min(left, self.fleet.bounds.stop_ms) if self.left else left
+        return min(left, self.fleet.bounds.stop_ms) if self.left and not self.leaving else left
 
     # --- what an answer says
     def _take(self, node, beg, a):
@@ -344,6 +350,20 @@
         self._call(self.fleet.at(self.addr) if self.addr else self.node or self.fleet.pick(''), None, 'leave')
         self.w.after(ANSWER + 500, self._gone)
 
+    def leave_first(self, serves_on_ms):
+        """Sends its leave without a word of draining before, serves on as long, and ends."""
+        if not self.up:
+            return
+        if self.out:
+            # one call at a time
+            self.w.after(SOON, self.leave_first, serves_on_ms)
+            return
+        self.leaving = True
+        self.gen += 1
+        self.sent, self.hops = self.w.t, 0
+        self._call(self.fleet.at(self.addr) if self.addr else self.node or self.fleet.pick(''), None, 'leave')
+        self.w.after(serves_on_ms, self._gone)
+
     def _gone(self):
         self.crash()
 
--- a/tests/test_yard_minion.py
+++ b/tests/test_yard_minion.py
@@ -328,6 +328,31 @@
     assert not o.up
 
 
+def test_a_minion_that_leaves_first_serves_on_tells_its_ends_and_ends(d):
+    d.job(works=[[500, 9000]])
+    m = d.minion()
+    d.start(m, A)
+    m.leave_first(3000)
+    c = next(c for c in d.calls if c['src'] == 'm0' and c['doc'] is None)
+    d.calls.remove(c)
+    c['then']('ok', {})
+    # its holds stand, and so does the word that it gives of itself
+    assert m.up and m.held() > 2000 and not m.sound
+    d.run(600)
+    doc = d.tell(m)
+    assert doc['state'] == 'ready' and (doc['finished'] or d.tell(m)['finished'])
+    d.run(3000)
+    assert not m.up
+
+
+def test_a_minion_drops_an_answer_that_is_too_large(d):
+    d.job(works=[[9000, 9000]])
+    m = d.minion()
+    text = '\x01' * 4000
+    d.tell(m, start=[[f'{n:016x}.0.0.0', 1, text, text] for n in range(100)])
+    assert not m.runs and not d.rules()
+
+
 def test_a_minion_that_is_cut_off_runs_on_until_its_hold_is_over(d):
     d.job(works=[[60000, 60000]])
     m = d.minion()
