--- a/asterwharf/orchard/minion_link.py
+++ b/asterwharf/orchard/minion_link.py
@@ -100,11 +100,11 @@
         A run that is not listed never began, or its end is noted, but where the list of ends is full: then it may be
         one of those that have no place.
         """
-        told = self.old | self.unlisted | self.held
+        full = len(finished) >= most_ends
+        told = self.old | self.unlisted | self.held if full else {}
         self.running = {r[0]: (r[1], r[2], r[3]) for r in running}
         self.ended = {f[1]: f[2] for f in finished}
-        full = len(finished) >= most_ends
-        self.unlisted = {k: r for k, r in told.items() if not self.shows(k, r)} if full else {}
+        self.unlisted = {k: r for k, r in told.items() if not self.shows(k, r)}
         self.old = {k: r for k, r in self.old.items() if not self.shows(k, r)}
         self.held = {k: r[0] for k, r in self.running.items()}
 
--- a/asterwharf/orchard/tender.py
+++ b/asterwharf/orchard/tender.py
@@ -8,6 +8,7 @@
 
 from asterwharf.base.board import Controller
 from asterwharf.orchard import answer_size
+from asterwharf.orchard.lease_timers import LeaseTimers
 from asterwharf.orchard.minion_link import CLOSED, DISCONNECTED, RECOVERING, REGISTERED, REGISTERING, Link
 
 # a minion's clock may be slow by this much
@@ -18,16 +19,15 @@
 BEATS = 1500
 # ms: how long before a run's likely end its minion is answered, so that it can tell of it; the least between two beats
 AHEAD, LEAST = 40, 20
-# of the time between beats: silence after which a minion gets no starts, after which starts it was never told are
-# taken back, and after which its runs recover
-FRESH, OVERDUE, SILENT = 0.4, 0.5, 2.0
+# of the time between beats: silence after which a minion gets no starts
+FRESH = 0.4
 # of the bytes that a minion takes in an answer: what is sent at most, so that it arrives in time on a slow link, too
 ANSWER = 0.25
 # of the silence bound: how long after an answered beat was sent holds may still be given
 LEASE = 0.8
 
 
-class Tender(Controller):
+class Tender(LeaseTimers, Controller):
     """Lives on every seat; acts only where the seat holds."""
 
     __slots__ = ('cell', 'due', 'heap', 'links', 'look', 'n', 'term', 'watch')
@@ -311,61 +311,6 @@
             l.turn(RECOVERING)
             self._recover(l)
 
-    def _recover(self, l):
-        """A timer for each run that the minion may hold."""
-        mac = self.mac
-        l.timers = {k: (mac.run_of(t, l.mid), l.lapse) for k, t in mac.on.get(l.mid, {}).items()}
-
-    def _untold(self, l):
-        """Takes back what was placed on a minion that has not called since: no answer ever told it, so it began nowhere."""
-        mac = self.mac
-        items = [
-            {'task': k, 'run': mac.run_of(t, l.mid), 'mid': l.mid, 'how': 'never', 'save': ''}
-            for k, t in mac.on.get(l.mid, {}).items()
-            if not l.may_hold(k)
-        ]
-        if items and self.cell.order('y_lapse', {'at': self.cell.wall, 'items': items, 'late': True}):
-            l.gave.update((i['task'], i['run']) for i in items)
-            self.b.count['untold'] += len(items)
-
-    def _watch(self, l):
-        b, beat = self.b, self.b.set.call.beat_ms
-        if l.old and b.now >= l.bound:
-            # no hold of an earlier holder lasts any more, and ours went to what was listed
-            l.old = {}
-        if l.give is None and l.doc is not None and b.now - max(l.recv, l.answered) > beat * OVERDUE:
-            self._untold(l)
-        if l.give is None and l.state in (REGISTERING, REGISTERED) and b.now - max(l.recv, l.answered) > beat * SILENT:
-            l.turn(RECOVERING)
-            self._recover(l)
-        if l.state == RECOVERING and not l.timers and self.mac.on.get(l.mid):
-            self._recover(l)
-        if l.state == CLOSED and not l.timers:
-            self._recover(l)
-        if l.timers and l.state in (RECOVERING, CLOSED):
-            self._expire(l)
-        if not self.mac.on.get(l.mid) and l.state in (CLOSED, RECOVERING) and b.now - l.recv > beat * 20:
-            del self.links[l.mid]
-
-    def _expire(self, l):
-        over = {k: r for k, (r, at) in l.timers.items() if self.b.now >= at}
-        if not over:
-            return
-        items = [
-            {
-                'task': k,
-                'run': r,
-                'mid': l.mid,
-                'how': 'lapsed',
-                'save': l.running.get(k, (0, ''))[1] if l.running.get(k, (0,))[0] == r else '',
-            }
-            for k, r in over.items()
-        ]
-        if self.cell.order('y_lapse', {'at': self.cell.wall, 'items': items}):
-            self.b.count['lapsed'] += len(items)
-            l.gave.update((i['task'], i['run']) for i in items)
-            l.timers = {k: v for k, v in l.timers.items() if k not in over}
-
     def open(self, l):
         """Whether a start may be placed there now."""
         if l.state not in (REGISTERED, REGISTERING) or l.drain or l.leaves:
