Gangs: the leader follows how they come together, and tells which member did not come

New: counters ends.HOW, gangs.together, gangs.apart; log lines 'gang apart' (each missing member with its minion, its link, whether it was told and the silence) and 'runs given up' (silence, what is left of the hold). Nothing is decided by them.

--- a/asterwharf/orchard/lease_timers.py
+++ b/asterwharf/orchard/lease_timers.py
@@ -28,6 +28,22 @@
         if items and self.cell.order('y_lapse', {'at': self.cell.wall, 'items': items, 'late': True}):
             link.gave.update((i['task'], i['run']) for i in items)
             self.b.count['untold'] += len(items)
+            self._given_up(link, 'untold', items)
+
+    def _given_up(self, link, why, items):
+        """One log line for runs of a minion that are given up."""
+        now = self.b.now
+        hold_left_ms = max(0, link.lapse - now)
+        silent_ms = link.silent_ms(now)
+        self.b.log(
+            'info',
+            'runs given up',
+            minion=link.mid,
+            why=why,
+            runs=len(items),
+            silent_ms=silent_ms,
+            hold_left_ms=hold_left_ms,
+        )
 
     def _watch(self, link):
         """Looks at one minion: how long it has been silent, and what follows from that."""
@@ -36,7 +52,7 @@
         if link.old and now >= link.bound:
             # no hold of an earlier holder lasts any more, and ours went to what was listed
             link.old = {}
-        silent_ms = now - max(link.recv, link.answered) if link.give is None else 0
+        silent_ms = link.silent_ms(now)
         if link.doc is not None and silent_ms > beat_ms * OVERDUE:
             self._untold(link)
         if link.state in (REGISTERING, REGISTERED) and silent_ms > beat_ms * SILENT:
@@ -69,5 +85,6 @@
         ]
         if self.cell.order('y_lapse', {'at': self.cell.wall, 'items': items}):
             self.b.count['lapsed'] += len(items)
+            self._given_up(link, 'lapsed', items)
             link.gave.update((i['task'], i['run']) for i in items)
             link.timers = {k: v for k, v in link.timers.items() if k not in over}
--- a/asterwharf/orchard/minion_link.py
+++ b/asterwharf/orchard/minion_link.py
@@ -90,6 +90,10 @@
         # unlisted: runs that the last beat showed neither as running nor as ended, while it had no place for all ends
         self.unlisted = {}
 
+    def silent_ms(self, now):
+        """Since when the minion has not called, ms of the node's clock; one whose beat waits for its answer is not silent."""
+        return now - max(self.recv, self.answered) if self.give is None else 0
+
     def shows(self, task, run):
         """Whether the last beat had this run among those that run or that have ended."""
         return self.running.get(task, (0,))[0] == run or self.ended.get(task) == run
--- a/asterwharf/orchard/model.py
+++ b/asterwharf/orchard/model.py
@@ -103,6 +103,11 @@
         self.tasks = [Task(self, i) for i in range(d.get('count') or 1)]
         self.left = len(self.tasks)
 
+    @property
+    def key(self):
+        """Its name among all steps: (job, time, number)."""
+        return self.job.id, self.k, self.n
+
     @property
     def whole(self):
         """Whether there is something to place: a gang only when every member is free."""
--- a/asterwharf/orchard/node.py
+++ b/asterwharf/orchard/node.py
@@ -3,6 +3,7 @@
 from asterwharf.base.board import Board, Node
 from asterwharf.consensus.member import GroupMember
 from asterwharf.mend.mender import Mender
+from asterwharf.orchard.gangs import GangWatch
 from asterwharf.orchard.gate import Gate
 from asterwharf.orchard.health import Health
 from asterwharf.orchard.late_jobs import LateJobs
@@ -32,7 +33,7 @@
         # ends are learned from before places are given, places are given before beats are answered
         late = self.late_jobs = self.placer.wait_reasons.late_jobs = LateJobs(b, self.member, self.tender, self.placer)
         mover = Mover(b, self.member, self.tender, hlt, self.placer, late)
-        self.all = self.member, hlt, late, self.placer, self.tender, mover
+        self.all = self.member, hlt, late, self.placer, self.tender, mover, GangWatch(b, self.member, self.tender)
 
 
 def control(st, inc, rng, load, now, wall, proto=PROTO):
--- a/asterwharf/orchard/tender.py
+++ b/asterwharf/orchard/tender.py
@@ -195,6 +195,8 @@
             return False
         l.noting = top
         self.b.count['ends'] += len(new)
+        for f in new:
+            self.b.count[f'ends.{f[3]}'] += 1
         return True
 
     # --- an answer
--- a/asterwharf/orchard/yard.py
+++ b/asterwharf/orchard/yard.py
@@ -14,6 +14,7 @@
         'ended',
         'events',
         'floor',
+        'gangs',
         'jobs',
         'on',
         'open',
@@ -85,7 +86,7 @@
         u = self.used.setdefault(mid, [0, 0, 0])
         u[0], u[1], u[2] = u[0] + c, u[1] + m, u[2] + g
         t.step.job.busy += 1
-        self.changed.add(mid)
+        self._touched(t, mid)
 
     def _let(self, t, mid):
         box = self.on.get(mid)
@@ -95,10 +96,16 @@
         u = self.used[mid]
         u[0], u[1], u[2] = u[0] - c, u[1] - m, u[2] - g
         t.step.job.busy -= 1
-        self.changed.add(mid)
+        self._touched(t, mid)
         if not box:
             del self.on[mid], self.used[mid]
 
+    def _touched(self, t, mid):
+        """A run began there or is over, for those who look at it at the leader."""
+        self.changed.add(mid)
+        if t.step.together:
+            self.gangs[t.step.key] = t.step
+
     def _look(self, s):
         """Whether a step has something to place."""
         if s.whole and not s.job.fate:
--- a/asterwharf/orchard/yard_rows.py
+++ b/asterwharf/orchard/yard_rows.py
@@ -17,8 +17,9 @@
         self.jobs, self.dirty, self.timed, self.open, self.waiting = {}, set(), {}, 0, {}
         # on: minion -> the runs it may hold, used: the room they take; ready: steps with something to place
         self.on, self.used, self.ready = {}, {}, {}
-        # for the holder, not kept: minions whose runs have changed, how runs have ended, and what became of runs
-        self.changed, self.ended, self.events = set(), [], []
+        # for the holder, not kept: minions whose runs have changed, how runs have ended, what became of runs, and gangs
+        # of which a run began or is over: (job, time, step) -> step
+        self.changed, self.ended, self.events, self.gangs = set(), [], [], {}
         self.undrained()
         for raw in rows.values():
             knd, d = unpack(raw, self.reads)
--- /dev/null
+++ b/tests/test_gang_members.py
@@ -0,0 +1,75 @@
+"""What the leader sees of gangs that come together, and of those that can't."""
+
+import pytest
+from yard_cell import QUEUES, A, Cell
+
+LONG = {'estimate_ms': 60000}
+MEMBERS = 3
+# percent a second of members that wait for the others
+NO_PROGRESS = 0
+
+
+class Gang:
+    """Three minions with room for one member each, and a gang of three; members that wait make no progress."""
+
+    def __init__(self):
+        self.cell = Cell(QUEUES)
+        self.minions = [self.cell.minion(f'm{i}') for i in range(MEMBERS)]
+        self.longest_wait = 0
+
+    def submit(self):
+        self.cell.submit(A, steps=[{'count': MEMBERS, 'cpu': 3000, 'together': True, **LONG}])
+
+    def begun(self):
+        """Members that run now: [(minion, task, ms since they began)]."""
+        return [
+            (minion, task, self.cell.now - minion.begun[task])
+            for minion in self.minions
+            if minion.mid not in self.cell.mute
+            for task in minion.runs
+        ]
+
+    def go(self, ms):
+        """Lets time pass; members that wait go on waiting."""
+        for _ in range(0, ms, 20):
+            for minion, task, waited in self.begun():
+                minion.rates[task] = NO_PROGRESS
+                self.longest_wait = max(self.longest_wait, waited)
+            self.cell.go(20)
+
+    def assert_nobody_waits_alone(self):
+        """Members that were told have been stopped within the time that they wait for the others."""
+        assert self.longest_wait, 'no member was told: the case did not come about'
+        assert self.longest_wait < self.cell.st.call.gang_wait_ms, f'waited {self.longest_wait} ms'
+        assert not self.begun()
+
+
+@pytest.fixture
+def gang():
+    return Gang()
+
+
+def until_answered_just_now(gang, minion):
+    """Time goes on until the minion was answered a moment ago: it still counts as open to starts."""
+    link = gang.cell.tender.links[minion.mid]
+    assert gang.cell.until(lambda: link.give is None and gang.cell.now - link.answered <= 20)
+
+
+def test_a_gang_that_has_come_together_is_left_alone(gang):
+    gang.submit()
+    gang.cell.go(3000)
+    assert sum(bool(minion.runs) for minion in gang.minions) == MEMBERS
+    assert gang.cell.b.count['gangs.together'] == 1
+    assert not [event for _, event, _ in gang.cell.logged if event.startswith('gang')]
+
+
+def test_the_log_tells_which_member_of_a_gang_did_not_come(gang):
+    until_answered_just_now(gang, gang.minions[0])
+    gang.cell.mute.add('m0')
+    gang.submit()
+    gang.go(4000)
+    [line] = [fields for _, event, fields in gang.cell.logged if event == 'gang apart']
+    assert (line['job'], line['run'], line['members'], line['listed']) == (A, 1, MEMBERS, MEMBERS - 1)
+    [missing] = line['missing']
+    assert 'told False' in missing
+    assert gang.cell.b.count['gangs.apart'] == 1
