--- a/tests/test_gang_members.py
+++ b/tests/test_gang_members.py
@@ -1,4 +1,4 @@
-"""What the leader sees of gangs that come together, and of those that can't."""
+"""A gang that can't come together is given up as one, before a member has waited `gang_wait_ms` for the others; the log says why."""
 
 import pytest
 from yard_cell import QUEUES, A, Cell
@@ -55,6 +55,78 @@
     assert gang.cell.until(lambda: link.give is None and gang.cell.now - link.answered <= 20)
 
 
+def test_members_are_stopped_when_the_minion_of_one_falls_silent_before_it_was_told(gang):
+    """Guards against GANG: the others waited out `gang_wait_ms` and ended alone."""
+    until_answered_just_now(gang, gang.minions[0])
+    gang.cell.mute.add('m0')
+    gang.submit()
+    gang.go(5000)
+    assert not gang.minions[0].runs
+    gang.assert_nobody_waits_alone()
+
+
+def test_members_are_stopped_when_the_answer_with_the_start_of_one_went_to_a_dead_minion(gang):
+    """Guards against GANG: its run counts as held for as long as a hold may last, which is longer than the others wait."""
+    cell, dead = gang.cell, gang.minions[0]
+    assert cell.until(lambda: cell.tender.links['m0'].give is not None)
+    dead.told = lambda body, now: cell.mute.add('m0')
+    gang.submit()
+    gang.go(3500)
+    assert 'm0' in cell.mute
+    gang.assert_nobody_waits_alone()
+
+
+def test_members_are_stopped_when_the_minion_of_one_drains_before_it_was_told(gang):
+    """Guards against GANG: the drain took back the start of one member only."""
+    until_answered_just_now(gang, gang.minions[0])
+    gang.minions[0].fix['state'] = 'draining'
+    gang.submit()
+    gang.go(5000)
+    gang.assert_nobody_waits_alone()
+
+
+def test_members_are_stopped_when_the_minion_of_one_turns_its_start_away(gang):
+    """Guards against GANG: a minion that guards its room ends the run as `refused`, and nobody told the others."""
+    cell, full = gang.cell, gang.minions[0]
+    told = full.told
+
+    def refuse(body, now):
+        told(body, now)
+        for task in list(full.runs):
+            full.end(task, 'refused')
+            refused.append(task)
+            # it is asked for nothing more: what becomes of the first run of the gang is looked at
+            full.fix['cpu'] = 0
+
+    full.told = refuse
+    refused = []
+    gang.submit()
+    assert cell.until(lambda: refused)
+    gang.go(500)
+    gang.assert_nobody_waits_alone()
+
+
+def test_a_new_leader_gives_up_a_gang_of_which_one_member_was_never_told(gang):
+    """Guards against GANG: a leader that comes while members are being told waits for the silent one's hold."""
+    until_answered_just_now(gang, gang.minions[0])
+    gang.cell.mute.add('m0')
+    gang.submit()
+    gang.go(300)
+    gang.cell.build()
+    gang.go(5000)
+    gang.assert_nobody_waits_alone()
+
+
+def test_a_gang_starts_again_as_one_once_it_was_given_up(gang):
+    until_answered_just_now(gang, gang.minions[0])
+    gang.cell.mute.add('m0')
+    gang.submit()
+    gang.go(5000)
+    gang.cell.mute.clear()
+    assert gang.cell.until(lambda: sum(bool(minion.runs) for minion in gang.minions) == MEMBERS)
+    assert len({run for minion in gang.minions for run, _, _ in minion.runs.values()}) == 1
+
+
 def test_a_gang_that_has_come_together_is_left_alone(gang):
     gang.submit()
     gang.cell.go(3000)
