A gang that can't come together is given up as one, before its members have waited for it

What callers saw: part of a group ran alone (GANG): 'N.N it waited N ms for the others of its gang'.

Cause: a gang was placed as one and given up singly. Where a member's minion fell silent, drained, turned the start away or was gone with the answer in hand, only that task was taken back or waited for its hold; the members that had been told learned nothing and ended alone after gang_wait_ms, when the trouble was as long past as in_touch_ms and excused nothing.

Ruled out: checkpoints that differ between members (a save is kept for all, and only before a gang is whole); run numbers that minions turn away (one number, above all earlier ones of its members).

Change: orchard/gangs.py stops all members as soon as one of them is over before they were seen side by side, and where one is not listed, or its minion is silent, half of gang_wait_ms after the placement; a new leader follows all gangs that run. Side by side means that a run has made progress, or that each minion listed its member in a beat that came after the last one was first listed. What works together is left to the minions, which break it by themselves. It is a stop of the scheduler's own, so no replicated state and no protocol changes.

--- a/asterwharf/orchard/gangs.py
+++ b/asterwharf/orchard/gangs.py
@@ -1,4 +1,4 @@
-"""Follows gangs from their placement until all members run side by side. Pure.
+"""Follows gangs from their placement until all members run side by side, and gives up as one those that can't. Pure.
 
 A minion ends a member `alone` that has waited `gang_wait_ms` for the others, and nothing but the scheduler knows
 early that one of them won't come: its minion may be silent, drain, turn the start away or be gone with the answer in hand.
@@ -10,43 +10,40 @@
 from asterwharf.orchard.minion_link import CLOSED, RECOVERING
 from asterwharf.orchard.model import RUN
 
-# of the time that a member waits for the others: how long a gang may take to come together, and how often that is
-# looked at; the rest is for stops to reach the members that wait
-PATIENCE, LOOK = 0.5, 0.02
+# of the time that a member waits for the others: how long a gang may take to come together, how often that is looked
+# at, and after how long stops are ordered again; what is left is for the stops to reach the members that wait
+PATIENCE, LOOK, AGAIN = 0.5, 0.02, 0.1
 
 
 @dataclass(slots=True)
 class Forming:
     """A gang that is on its way: its step, its run, and ms of the node's clock.
 
-    `listed` has when each member was first listed as running, by the member's index.
+    `minions` and `listed` have each member's minion and when it was first listed as running, by the member's index;
+    `stopped` is when the members were ordered to stop, or None.
     """
 
     step: object
     run: int
     since: int
+    minions: dict
     listed: dict = field(default_factory=dict)
+    stopped: int | None = None
 
-
-@dataclass(frozen=True, slots=True)
-class Missing:
-    """A member that does not run with the others, and what is known of its minion."""
-
-    task: str
-    minion: str
-    link: str
-    told: bool
-    silent_ms: int
+    @property
+    def members(self):
+        """Members that may run and are not being stopped."""
+        return [task for task in self.step.tasks if task.state == RUN and task.run == self.run and not task.stop]
 
 
 class GangWatch(Controller):
-    """At the leader of the cell: sees gangs come together, or not."""
+    """At the leader of the cell: sees gangs come together, and stops all members where one does not come."""
 
-    __slots__ = ('cell', 'due', 'forming', 'tender', 'term', 'together')
+    __slots__ = ('cell', 'due', 'forming', 'mover', 'tender', 'term', 'together')
 
-    def __init__(self, board, cell, tender):
+    def __init__(self, board, cell, tender, mover):
         super().__init__(board)
-        self.cell, self.tender = cell, tender
+        self.cell, self.tender, self.mover = cell, tender, mover
         # (job, time, step) -> Forming, or the run that has come together
         self.forming, self.together, self.due, self.term = {}, {}, 0, -1
 
@@ -82,8 +79,13 @@
             self.together.pop(key, None)
             return
         run, gang = running[0].run, self.forming.get(key)
-        if self.together.get(key) != run and (gang is None or gang.run != run):
-            self.forming[key] = Forming(step, run, self.b.now)
+        # once they work together a minion that loses sight of one breaks the others by itself
+        if self.together.get(key) == run:
+            return
+        if gang is None or gang.run != run:
+            gang = self.forming[key] = Forming(step, run, self.b.now, {task.idx: task.mid for task in running})
+        if len(running) < len(step.tasks):
+            self._give_up(gang)
 
     def tick(self):
         if self.term < 0 or self.b.now < self.due:
@@ -91,13 +93,14 @@
         wait_ms = self.b.set.call.gang_wait_ms
         self.due = self.b.now + int(wait_ms * LOOK)
         for key, gang in list(self.forming.items()):
-            if self._runs_whole(gang):
+            if gang.stopped is not None:
+                self._give_up(gang)
+            elif self._runs_whole(gang):
                 self.b.count['gangs.together'] += 1
                 self.together[key] = gang.run
                 del self.forming[key]
-            elif self.b.now - gang.since > wait_ms:
-                self._tell(gang)
-                del self.forming[key]
+            elif self.b.now - gang.since > wait_ms * PATIENCE and self._missing(gang):
+                self._give_up(gang)
 
     def _runs_whole(self, gang):
         """Whether the gang is at work, or a beat of each member's minion that came after the last one began lists it."""
@@ -116,40 +119,59 @@
         last = max(gang.listed.values())
         return all(link.recv >= last for link in links)
 
+    def _give_up(self, gang):
+        """Stops the members that are there or on their way; ordered again where that came to nothing."""
+        now, again_ms = self.b.now, self.b.set.call.gang_wait_ms * AGAIN
+        if gang.stopped is not None and now - gang.stopped < again_ms:
+            return
+        stops = {}
+        if gang.stopped is None:
+            self._tell(gang)
+        for task in gang.members:
+            self.mover.stop(task, stops, 'gang_apart')
+        items = [{'task': key, 'run': run} for key, run in stops.items()]
+        if items and self.cell.order('y_stop', {'at': self.cell.wall, 'items': items}):
+            gang.stopped = now
+
+    # --- what is told of it
     def _tell(self, gang):
         """One log line for a gang that does not come together."""
-        missing = self._missing(gang)
         self.b.count['gangs.apart'] += 1
+        first, last = min(gang.listed.values(), default=0), max(gang.listed.values(), default=0)
         self.b.log(
-            'warning',
+            'info',
             'gang apart',
             job=gang.step.job.id,
             step=gang.step.n,
             run=gang.run,
             members=len(gang.step.tasks),
             listed=len(gang.listed),
-            span_ms=max(gang.listed.values(), default=0) - min(gang.listed.values(), default=0),
+            span_ms=last - first,
             waited_ms=self.b.now - gang.since,
-            missing=[
-                f'{m.task} on {m.minion or "-"}: {m.link}, told {m.told}, silent {m.silent_ms} ms' for m in missing
-            ],
+            missing=self._missing(gang),
         )
 
     def _missing(self, gang):
-        return [self._seen(task) for task in gang.step.tasks if self._is_missing(task, gang.run)]
+        """One line for each member that is over, that its minion does not list, or whose minion is silent."""
+        return [
+            self._seen(task, gang.minions.get(task.idx, ''))
+            for task in gang.step.tasks
+            if self._is_missing(task, gang.run)
+        ]
 
     def _is_missing(self, task, run):
-        """Whether a member is over, or its minion does not list it, or is silent."""
         link = self.tender.links.get(task.mid)
         if not _lists(link, task, run) or link.state in (RECOVERING, CLOSED):
             return True
         return link.silent_ms(self.b.now) > self.b.set.call.beat_ms
 
-    def _seen(self, task):
-        link = self.tender.links.get(task.mid)
+    def _seen(self, task, minion_id):
+        link = self.tender.links.get(minion_id)
         if link is None:
-            return Missing(task.key, task.mid, '', False, 0)
-        return Missing(task.key, task.mid, link.state, link.held.get(task.key) == task.run, link.silent_ms(self.b.now))
+            return f'{task.key} on {minion_id or "no minion"}: not known'
+        told = link.held.get(task.key) == task.run
+        over = '' if task.state == RUN else ', given up'
+        return f'{task.key} on {minion_id}: {link.state}, told {told}, silent {link.silent_ms(self.b.now)} ms{over}'
 
 
 def _lists(link, task, run):
--- a/asterwharf/orchard/node.py
+++ b/asterwharf/orchard/node.py
@@ -33,7 +33,8 @@
         # ends are learned from before places are given, places are given before beats are answered
         late = self.late_jobs = self.placer.wait_reasons.late_jobs = LateJobs(b, self.member, self.tender, self.placer)
         mover = Mover(b, self.member, self.tender, hlt, self.placer, late)
-        self.all = self.member, hlt, late, self.placer, self.tender, mover, GangWatch(b, self.member, self.tender)
+        gangs = GangWatch(b, self.member, self.tender, mover)
+        self.all = self.member, hlt, late, self.placer, self.tender, mover, gangs
 
 
 def control(st, inc, rng, load, now, wall, proto=PROTO):
