Simulator: beats come late with nothing wrong, and GANG is judged by the page alone

Now a trouble excuses that was itself on within in_touch_ms before the end, the sender is looked at when the run ends, and a hopeless job excuses nothing.

--- a/asterwharf/sim/fault_steps.py
+++ b/asterwharf/sim/fault_steps.py
@@ -34,10 +34,10 @@
     go()
 
 
-def mark(day, kind, span):
-    """Marks a trouble with the time that its traces take to fade."""
-    t = day.fleet.w.t
-    day.fleet.sight.mark(kind, t, t + span + day.fleet.bounds.in_touch_ms)
+def mark(day, kind, span, fades=0):
+    """Marks a trouble of `span` ms, and the time that its traces take to fade: `fades` and what it takes to be in touch."""
+    over = day.fleet.w.t + span
+    day.fleet.sight.mark(kind, day.fleet.w.t, over, over + fades + day.fleet.bounds.in_touch_ms)
 
 
 def lasting(day, n, span):
--- a/asterwharf/sim/minion_faults.py
+++ b/asterwharf/sim/minion_faults.py
@@ -13,7 +13,7 @@
 def srv_crash(day):
     """Minions crash and come back under new ids; or are lost for good."""
     f, span, gone = day.fleet, ms(day, 500, 5000), day.rng.random() < 0.3
-    mark(day, 'srv_crash', span + f.bounds.hold_ms)
+    mark(day, 'srv_crash', span, f.bounds.hold_ms)
     for m in part(day, 0.14, fit(day)):
         m.crash()
         if not gone:
@@ -23,7 +23,7 @@
 def flap(day):
     """One minion goes down and up by turns."""
     f, m = day.fleet, day.rng.choice(fit(day))
-    mark(day, 'srv_flap', 6000 + f.bounds.hold_ms)
+    mark(day, 'srv_flap', 6000, f.bounds.hold_ms)
     for i in range(3):
         f.w.after(i * 2000 + 1, lambda: f.minions[m.machine].crash())
         f.w.after(i * 2000 + 800, f.enlist, m.machine)
@@ -32,7 +32,7 @@
 def srv_cut(day):
     """Minions are cut off from every machine and run on, both ways or one way."""
     f, span, way = day.fleet, ms(day, 2000, 6500), day.rng.choice(('both', 'both', 'out', 'in'))
-    mark(day, 'srv_cut', span + f.bounds.hold_ms)
+    mark(day, 'srv_cut', span, f.bounds.hold_ms)
     for m in part(day, 0.15, fit(day)):
         f.island(m.machine, True, way)
         f.w.after(span, f.island, m.machine, False, way)
--- a/asterwharf/sim/site_model.py
+++ b/asterwharf/sim/site_model.py
@@ -31,10 +31,6 @@
     restore_ms: int = 100
     far_factor: float = 3
 
-    @property
-    def gang_ms(self):
-        return self.gang_wait_ms
-
 
 @dataclass(frozen=True)
 class Shape:
--- a/asterwharf/sim/yard_fleet.py
+++ b/asterwharf/sim/yard_fleet.py
@@ -1,5 +1,6 @@
 """A simulated platform: core nodes, edges, minions that call in, and what stands between them."""
 
+import random
 from dataclasses import fields, replace
 
 from asterwharf.base.settings import Calls, Settings, View
@@ -18,6 +19,8 @@
 # an edge that misses two of the platform's looks gets no new clients
 PROBE = 1000
 SEEDS = 3
+# of the beats, how many come late though nothing is wrong, and ms by how much
+LATE_BEATS, LATE_MS = 0.003, (500, 3000)
 
 
 class Reach:
@@ -39,8 +42,10 @@
 class YardFleet:
     """Builds and starts; a day then does its worst."""
 
-    def __init__(self, seed, site, silence_ms=0, hold_ms=HOLD, lists_turned=None, **st):
+    def __init__(self, seed, site, silence_ms=0, hold_ms=HOLD, lists_turned=None, late_beats=LATE_BEATS, **st):
         self.w, self.site, self.bounds = World(seed), site, site.bounds
+        # drawn apart from how the world rolls, so that a day without late beats is otherwise the same
+        self.late_beats, self._lateness = late_beats, random.Random(f'late beats {seed}')
         self.net = Net(self.w)
         self.reach = Reach(self.net)
         self.sight = Sight(self.w, self.bounds)
@@ -175,6 +180,13 @@
         return self
 
     # --- minions
+    def lateness(self):
+        """By how much the next beat of a minion comes late, ms; mostly 0."""
+        if self._lateness.random() >= self.late_beats:
+            return 0
+        self.obs.count['late_beats'] += 1
+        return self._lateness.randint(*LATE_MS)
+
     def enlist(self, machine):
         """A minion begins a life on its machine, under a new id."""
         old = self.minions.get(machine)
--- a/asterwharf/sim/yard_minion.py
+++ b/asterwharf/sim/yard_minion.py
@@ -115,7 +115,7 @@
     def _plan(self, ms):
         """The next beat goes out after `ms`, whatever was planned before."""
         self.gen += 1
-        self.w.after(ms, self._beat, self.gen)
+        self.w.after(ms + self.fleet.lateness(), self._beat, self.gen)
 
     def doc(self):
         s = self.shape
--- a/asterwharf/sim/yard_observer.py
+++ b/asterwharf/sim/yard_observer.py
@@ -285,9 +285,9 @@
         elif how in ('stopped', 'lapsed', 'broken', 'alone') and not r.spec.get('lasts'):
             self.waste[how] += (now - r.at) * (r.spec.get('cpu', 0) / 1000 + 8 * r.spec.get('gpus', 0)) / 1000
         if how == 'alone':
-            since = r.at - self.bounds.in_touch_ms - self.bounds.gang_ms
-            if tld.cancel is None and r.level == IN and self.sight.calm(since, *HARMLESS) and not j.poison:
-                self.no('GANG', what='ended alone', task=r.task, run=r.run)
+            near = self.sight.undisturbed(now - self.bounds.in_touch_ms, *HARMLESS)
+            if tld.cancel is None and near and self.sight.level(r.sender) == IN:
+                self.no('GANG', what='ended alone', task=r.task, run=r.run, waited=now - r.at)
 
     # --- clients
     def handed(self, job):
--- a/asterwharf/sim/yard_sight.py
+++ b/asterwharf/sim/yard_sight.py
@@ -20,7 +20,7 @@
         self.hit, self.core_hit, self.ill, self.paths = {}, 0, {}, {}
         # since when more than half of the core has run connected and not slowed
         self.half, self.wide = 0, 1
-        # (kind, begin, end): every trouble of the day, for the rules that speak of "no trouble near"
+        # (kind, begin, end, end of its traces): every trouble of the day, for the rules that speak of "no trouble near"
         self.marks = []
 
     # --- what is done to the world
@@ -39,13 +39,19 @@
         self.ill[name] = max(0, self.ill.get(name, 0) - 1)
         self.event(name)
 
-    def mark(self, kind, beg, end):
-        self.marks.append((kind, beg, end))
+    def mark(self, kind, beg, end, traces=None):
+        """A trouble of a kind, ms of true time; `traces`: until when what it did may still be seen."""
+        self.marks.append((kind, beg, end, end if traces is None else traces))
 
     def calm(self, since, *but):
-        """Whether no trouble but these kinds was on between then and now."""
+        """Whether no trouble but these kinds was on, or to be seen by its traces, between then and now."""
         now = self.w.t
-        return not any(k not in but and b <= now and e >= since for k, b, e in self.marks)
+        return not any(k not in but and b <= now and e >= since for k, b, _, e in self.marks)
+
+    def undisturbed(self, since, *but):
+        """Whether no trouble but these kinds was itself on between then and now, whatever traces it left."""
+        now = self.w.t
+        return not any(k not in but and b <= now and e >= since for k, b, e, _ in self.marks)
 
     # --- looking
     def on(self, n):
--- a/tests/test_yard_minion.py
+++ b/tests/test_yard_minion.py
@@ -364,3 +364,12 @@
     assert m.runs
     d.run(600)
     assert not m.runs
+
+
+def test_a_beat_may_come_seconds_late_with_nothing_wrong(d):
+    m = d.minion()
+    d.tell(m, again_ms=300)
+    d.f.late_beats, told = 1.0, d.w.t
+    d.tell(m, again_ms=300)
+    sent = d.beat(m)['at']
+    assert sent - told > 300 + 500 and d.obs.count['late_beats'] == 1 and not d.f.sight.marks
--- a/tests/yard_desk.py
+++ b/tests/yard_desk.py
@@ -41,7 +41,7 @@
     """A fleet without nodes: what minions and clients send lies here until the test answers."""
 
     def __init__(self, site=OPEN, guards=False):
-        self.f = YardFleet(1, site, lists_turned=True)
+        self.f = YardFleet(1, site, lists_turned=True, late_beats=0)
         self.w, self.obs, self.calls = self.f.w, self.f.obs, []
         # no node is asked: calls lie here; every machine is in touch
         self.f.net = self.f.reach.net = self.obs.room.net = Still(self.w, self._call)
