--- a/asterwharf/orchard/model.py
+++ b/asterwharf/orchard/model.py
@@ -31,7 +31,7 @@
     __slots__ = ('fails', 'idx', 'key', 'lapsed', 'mid', 'run', 'save', 'spare', 'state', 'step', 'stop', 'top')
 
     def __init__(self, step, idx):
-        self.step, self.idx, self.key = step, idx, f'{step.job.id}.{step.k}.{step.n}.{idx}'
+        self.step, self.idx, self.key = step, idx, f'{step.name}.{idx}'
         self.state, self.run, self.mid, self.fails, self.save, self.stop = WAIT, 0, '', 0, '', False
         self.lapsed, self.spare, self.top = (), None, 0
 
@@ -108,6 +108,11 @@
         """Its name among all steps: (job, time, number)."""
         return self.job.id, self.k, self.n
 
+    @property
+    def name(self):
+        """The part that the names of its tasks have in common."""
+        return f'{self.job.id}.{self.k}.{self.n}'
+
     @property
     def whole(self):
         """Whether there is something to place: a gang only when every member is free."""
--- a/asterwharf/orchard/placer.py
+++ b/asterwharf/orchard/placer.py
@@ -118,7 +118,7 @@
 
     def waited(self, s):
         """How long a step has had something to place, ms."""
-        return self.b.now - self.first.setdefault((s.job.id, s.k, s.n), self.b.now)
+        return self.b.now - self.first.setdefault(s.key, self.b.now)
 
     def _decide(self):
         out, n, full = [], 0, set()
@@ -154,11 +154,11 @@
             self.reservations.leave(s, rooms, got)
             m = sum(len(g['items']) for g in got)
             n += m
-            if m + early[f'{s.job.id}.{s.k}.{s.n}'] < s.ready:
+            if m + early[s.name] < s.ready:
                 full.add(key)
                 self.reservations.consider(s, rooms, waited)
             else:
-                self.satisfied.add((s.job.id, s.k, s.n))
+                self.satisfied.add(s.key)
         out += self.copies.bundles(rooms)
         rooms.truncated = n >= MOST
         self.wait_reasons.sample(rooms)
--- a/asterwharf/orchard/reservations.py
+++ b/asterwharf/orchard/reservations.py
@@ -74,11 +74,6 @@
     awaited: tuple
 
 
-def step_key(step):
-    """Names a step of one time of a job."""
-    return step.job.id, step.k, step.n
-
-
 class Reservations:
     """All of them, at the leader. A reservation holds room against steps that are as urgent as its own, or less."""
 
@@ -93,7 +88,7 @@
 
     def of(self, step):
         """The reservation of a step, or None."""
-        return self._by_step.get(step_key(step))
+        return self._by_step.get(step.key)
 
     # --- a decision
     def begin(self, rooms):
@@ -124,7 +119,7 @@
             ):
                 self.board.violated(
                     'reserved_room',
-                    step=list(step_key(step)),
+                    step=list(step.key),
                     minion=minion_id,
                     tasks=[task.key for task in later[:5]],
                 )
@@ -172,7 +167,7 @@
         started = [item['mid'] for bundle in bundles for item in bundle['items']]
         left = step.ready - len(started)
         if left <= 0:
-            del self._by_step[step_key(step)]
+            del self._by_step[step.key]
             return
         for minion_id in started:
             if own.places.get(minion_id, 0) > 1:
@@ -182,7 +177,7 @@
         if own.places:
             rooms.hold(own)
         else:
-            del self._by_step[step_key(step)]
+            del self._by_step[step.key]
 
     def _rank(self, step):
         return step.job.prio, self.placer.urgency.lateness(step)
@@ -222,7 +217,7 @@
             planned=True,
             low_since=now,
         )
-        self._by_step[step_key(step)] = reservation
+        self._by_step[step.key] = reservation
         rooms.hold(reservation)
         self.board.count['room.kept'] += 1
 
@@ -314,9 +309,7 @@
         until = self.board.now + int(call.stop_grace_ms + call.beat_ms * EVICTED)
         own = self.of(step)
         if own is None:
-            own = self._by_step[step_key(step)] = Reservation(
-                step, {}, {}, {}, until, until, planned=False, low_since=until
-            )
+            own = self._by_step[step.key] = Reservation(step, {}, {}, {}, until, until, planned=False, low_since=until)
         own.places[minion_id] = own.places.get(minion_id, 0) + tasks
         own.awaited[minion_id] = (*own.awaited.get(minion_id, ()), *(victim.key for victim in victims))
         # starts on their way are not counted as runs yet: the next decision knows them
--- a/asterwharf/orchard/wait_reasons.py
+++ b/asterwharf/orchard/wait_reasons.py
@@ -72,7 +72,7 @@
         judge, waited_ms = self.placer.judge, self.placer.waited(step)
         if step.apart or judge.key(step) or rooms.truncated or waited_ms <= rooms.patience * GRACE:
             return
-        self.b.violated('idle_room', step=[step.job.id, step.k, step.n], waited_ms=waited_ms)
+        self.b.violated('idle_room', step=list(step.key), waited_ms=waited_ms)
 
     def _report(self, rooms):
         for queue, (steps, longest_ms, reasons, group) in sorted(self._late.items()):
--- a/asterwharf/orchard/yard.py
+++ b/asterwharf/orchard/yard.py
@@ -109,9 +109,9 @@
     def _look(self, s):
         """Whether a step has something to place."""
         if s.whole and not s.job.fate:
-            self.ready[s.job.id, s.k, s.n] = s
+            self.ready[s.key] = s
         else:
-            self.ready.pop((s.job.id, s.k, s.n), None)
+            self.ready.pop(s.key, None)
 
     def move(self, t, new):
         """The one function for every change of a task's state."""
