Gangs of an earlier leader: given up sooner, and only where a member is known to wait

Now an inherited gang has a quarter of gang_wait_ms, what counts is a member that this leader told or that is listed, and a gang of one is not followed.

Evidence: the test of the quicker new leader fails with the old patience; the case of three members of the test of gangs at work fails where a member need not be known to wait (the case of one was not seen failing); all pass now.

--- a/asterwharf/orchard/gangs.py
+++ b/asterwharf/orchard/gangs.py
@@ -13,6 +13,8 @@
 # of the time that a member waits for the others: how long a gang may take to come together, how often that is looked
 # at, and after how long stops are ordered again; what is left is for the stops to reach the members that wait
 PATIENCE, LOOK, AGAIN = 0.5, 0.02, 0.1
+# the first of these for a gang that an earlier leader has placed, from when the new one begins
+PATIENCE_INHERITED = 0.25
 
 
 @dataclass(slots=True)
@@ -20,12 +22,13 @@
     """A gang that is on its way: its step, its run, and ms of the node's clock.
 
     `minions` and `listed` have each member's minion and when it was first listed as running, by the member's index;
-    `stopped` is when the members were ordered to stop, or None.
+    `until` is when it must have come together, `stopped` when the members were ordered to stop, or None.
     """
 
     step: object
     run: int
     since: int
+    until: int
     minions: dict
     listed: dict = field(default_factory=dict)
     stopped: int | None = None
@@ -59,20 +62,21 @@
         if self.term < 0:
             return
         for key, step in changed.items():
-            self._changed(key, step)
+            self._changed(key, step, PATIENCE)
 
     def _begin_term(self):
         """A new leader does not know which gangs have come together: it follows all that run."""
         self.term, self.forming, self.together = self.tender.term, {}, {}
         if self.term < 0:
             return
-        for runs in self.machine.on.values():
-            for task in runs.values():
-                if task.step.together:
-                    self.machine.gangs[task.step.key] = task.step
+        running = [task for runs in self.machine.on.values() for task in runs.values()]
+        for step in {task.step.key: task.step for task in running if task.step.together}.values():
+            self._changed(step.key, step, PATIENCE_INHERITED)
 
-    def _changed(self, key, step):
+    def _changed(self, key, step, patience):
         """Members of a gang were placed, or are over."""
+        if len(step.tasks) < 2:
+            return
         running = [task for task in step.tasks if task.state == RUN]
         if not running or step.job.fate:
             self.forming.pop(key, None)
@@ -83,15 +87,16 @@
         if self.together.get(key) == run:
             return
         if gang is None or gang.run != run:
-            gang = self.forming[key] = Forming(step, run, self.b.now, {task.idx: task.mid for task in running})
+            until = self.b.now + int(self.b.set.call.gang_wait_ms * patience)
+            minions = {task.idx: task.mid for task in running}
+            gang = self.forming[key] = Forming(step, run, self.b.now, until, minions)
         if len(running) < len(step.tasks):
             self._give_up(gang)
 
     def tick(self):
         if self.term < 0 or self.b.now < self.due:
             return
-        wait_ms = self.b.set.call.gang_wait_ms
-        self.due = self.b.now + int(wait_ms * LOOK)
+        self.due = self.b.now + int(self.b.set.call.gang_wait_ms * LOOK)
         for key, gang in list(self.forming.items()):
             if gang.stopped is not None:
                 self._give_up(gang)
@@ -99,7 +104,7 @@
                 self.b.count['gangs.together'] += 1
                 self.together[key] = gang.run
                 del self.forming[key]
-            elif self.b.now - gang.since > wait_ms * PATIENCE and self._missing(gang):
+            elif self.b.now > gang.until and self._somebody_waits(gang) and self._missing(gang):
                 self._give_up(gang)
 
     def _runs_whole(self, gang):
@@ -119,6 +124,11 @@
         last = max(gang.listed.values())
         return all(link.recv >= last for link in links)
 
+    def _somebody_waits(self, gang):
+        """Whether a member was told by this leader, or is listed: of what an earlier leader told nothing may be known yet."""
+        links = [(task, self.tender.links.get(task.mid)) for task in gang.members]
+        return any(link is not None and link.held.get(task.key) == gang.run for task, link in links)
+
     def _give_up(self, gang):
         """Stops the members that are there or on their way; ordered again where that came to nothing."""
         now, again_ms = self.b.now, self.b.set.call.gang_wait_ms * AGAIN
--- a/tests/test_gang_members.py
+++ b/tests/test_gang_members.py
@@ -145,3 +145,32 @@
     [missing] = line['missing']
     assert 'told False' in missing
     assert gang.cell.b.count['gangs.apart'] == 1
+
+
+def test_a_new_leader_is_quicker_to_give_up_what_has_waited_under_the_last_one(gang):
+    """Guards against GANG: members told just before their leader is lost have waited for all of the election already."""
+    until_answered_just_now(gang, gang.minions[0])
+    gang.cell.mute.add('m0')
+    gang.submit()
+    gang.go(300)
+    lost_ms = gang.cell.st.view.silence_ms * 2
+    for minion in gang.minions:
+        minion.wait = gang.cell.now + lost_ms
+    gang.cell.now += lost_ms
+    gang.cell.build()
+    gang.go(2500)
+    gang.assert_nobody_waits_alone()
+
+
+@pytest.mark.parametrize('count', [1, MEMBERS])
+def test_a_gang_at_work_is_let_be_while_its_minions_look_for_the_new_leader(gang, count):
+    gang.cell.submit(A, steps=[{'count': count, 'cpu': 3000, 'together': True, **LONG}])
+    gang.cell.go(2000)
+    runs = [dict(minion.runs) for minion in gang.minions]
+    gang.cell.build()
+    for minion in gang.minions:
+        minion.wait = gang.cell.now + gang.cell.st.call.gang_wait_ms
+    gang.cell.go(gang.cell.st.call.gang_wait_ms + 2000)
+    assert sum(map(len, runs)) == count
+    assert [set(minion.runs) for minion in gang.minions] == [set(held) for held in runs]
+    assert not gang.cell.b.count['gangs.apart']
