A new leader waits for the holds of the last one, not for its lease on top of them

Cause: Tender._turn took it that the last leader may have answered beats until the silence bound after this one began. Its lease (0.8 of the bound, from the sending of a heartbeat) ends before any replica votes (0.9), an appointed successor voids it, and a hold counts from the sending of a beat: every hold is over hold_ms / 0.98 after the new leader begins.

--- a/asterwharf/orchard/tender.py
+++ b/asterwharf/orchard/tender.py
@@ -306,11 +306,11 @@
         self.term = term
         if term < 0:
             return
-        board = self.b
-        # the holds that the last holder gave are not known: the longest it can have given
-        far = board.now + int((board.set.view.silence_ms + self.hold_ms) / DRIFT) + 1
+        # the holds that the last leader gave are not known; its lease was over before anybody voted for this one, so
+        # that no beat it answered came later than now
+        far = self.b.now + int(self.hold_ms / DRIFT) + 1
         for minion_id in self.mac.on:
-            link = self.links[minion_id] = Link(minion_id, board.now)
+            link = self.links[minion_id] = Link(minion_id, self.b.now)
             link.lapse = link.bound = far
             link.old = {key: self.mac.run_of(task, minion_id) for key, task in self.mac.on[minion_id].items()}
             link.turn(RECOVERING)
--- a/tests/test_orchard_moves.py
+++ b/tests/test_orchard_moves.py
@@ -286,3 +286,16 @@
     assert where(cell, A) == {task: mid}
     cell.go(1000)
     assert where(cell, A)[task] != mid
+
+
+def test_a_lost_run_waits_for_its_hold_alone_after_a_change_of_leader():
+    """Guards against LOST: a job stood still for the silence bound longer than any hold lasts."""
+    cell = fleet('m1')
+    cell.submit(A, steps=[{'count': 1, 'cpu': 1000, **LONG}])
+    cell.go(300)
+    cell.mute = {'m1'}
+    again(cell)
+    cell.minion('m2')
+    begun = cell.now
+    assert cell.until(lambda: set(where(cell, A).values()) == {'m2'}, 8000)
+    assert cell.now - begun < cell.st.call.hold_ms / 0.98 + 300
