An idle connection is read once more before it is closed

A request that had arrived and was not read yet had its connection reset.

Evidence: both cases of the new test of tests/test_lean.py fail before (no answer) and pass; test_lean, test_lean_callers, test_platform_clients and test_callers_go_on pass.

--- a/asterwharf/door/lean.py
+++ b/asterwharf/door/lean.py
@@ -301,9 +301,15 @@
             elif ln.begun:
                 if old > stall:
                     self._bad(ln, 'bad_http', 'the request did not come to its end')
-            elif idle and old > idle:
+            elif idle and old > idle and not self._has_more(ln):
                 self.server.cut(ln.sock)
 
+    def _has_more(self, ln):
+        """Takes in what lies unread in an idle connection; whether it is idle no longer, or closed by its peer."""
+        turn = ln.turn
+        self.server.readable(ln.sock)
+        return self.lines.get(ln.sock) is not ln or ln.turn != turn or not ln.idle
+
     # --- leaving
     def idle(self):
         return self.app.idle()
@@ -329,5 +335,5 @@
         """Closes the connections on which nothing is asked or said."""
         now = boot_ms()
         for ln in list(self.lines.values()):
-            if ln.idle and now - ln.at > QUIET:
+            if ln.idle and now - ln.at > QUIET and not self._has_more(ln):
                 self.server.shut(ln.sock)
--- a/tests/test_lean.py
+++ b/tests/test_lean.py
@@ -277,6 +277,23 @@
     assert c.answer()[1] == b'second'
 
 
+@pytest.mark.parametrize('closes', ['sweep', 'hush'])
+def test_a_request_that_lies_unread_in_an_idle_connection_is_answered_before_it_is_closed(site, monkeypatch, closes):
+    """Guards against LOST: the connection was reset under a request that had arrived."""
+    loop, app, door, call = site
+    now = [lean.boot_ms()]
+    monkeypatch.setattr(lean, 'boot_ms', lambda: now[0])
+    idle, quiet = call(), call()
+    for caller in (idle, quiet):
+        caller.send(req('GET', '/x'))
+        assert caller.answer()[0] == 200
+    now[0] += app.idle_ms + 1
+    idle.s.sendall(req('GET', '/y'))
+    getattr(door, closes)()
+    assert idle.answer()[0] == 200
+    assert quiet.ended()
+
+
 def test_slow_and_idle_callers_give_their_place_back(site, monkeypatch):
     loop, app, door, call = site
     now = [lean.boot_ms()]
