--- a/tests/soak_world.py
+++ b/tests/soak_world.py
@@ -9,6 +9,8 @@
 # seconds: an answer that comes later is dropped; between an end and the next beat; after a call that failed
 ANSWER_S, AFTER_END_S, AFTER_FAILURE_S = 1.0, 0.05, 0.1
 GANG_WAIT_S = 3.0
+# of the beats, how many come late though nothing is wrong, and seconds by how much
+LATE_BEATS, LATE_S = 0.003, (0.5, 3.0)
 
 
 def request(address, method, path, document=None, timeout=ANSWER_S, **headers):
@@ -121,7 +123,11 @@
             address = self.address or self.random.choice(self.world.control)
             sent = time.monotonic()
             status, answer, headers = request(address, 'POST', f'/minions/{self.name}/heartbeat', document)
-            pause = self._heard(life, sent, status, answer, headers)
+            pause = self._heard(life, sent, status, answer, headers) + self._lateness()
+
+    def _lateness(self):
+        """By how much the next beat comes late, seconds; mostly 0."""
+        return self.random.uniform(*LATE_S) if self.random.random() < LATE_BEATS else 0.0
 
     def _heard(self, life, sent, status, answer, headers):
         """Takes an answer in; seconds until the next beat."""
