Soak: a minion tells of an end within 50 ms, as the users' page says

The constant for it was there and nothing read it: ends waited for the next beat that was asked for.

--- a/tests/soak_world.py
+++ b/tests/soak_world.py
@@ -9,6 +9,8 @@
 # seconds: an answer that comes later is dropped; between an end and the next beat; after a call that failed
 ANSWER_S, AFTER_END_S, AFTER_FAILURE_S = 1.0, 0.05, 0.1
 GANG_WAIT_S = 3.0
+# between two looks at what has ended
+LOOK_S = 0.05
 # of the beats, how many come late though nothing is wrong, and seconds by how much
 LATE_BEATS, LATE_S = 0.003, (0.5, 3.0)
 
@@ -113,7 +115,7 @@
     def run(self):
         pause = 0.0
         while not self.over:
-            time.sleep(pause)
+            self._rest(pause)
             with self.world.truth.lock:
                 self._pass()
                 life, document = self.life, self._account()
@@ -129,6 +131,18 @@
         """By how much the next beat comes late, seconds; mostly 0."""
         return self.random.uniform(*LATE_S) if self.random.random() < LATE_BEATS else 0.0
 
+    def _rest(self, pause):
+        """Waits for the next beat: as long as asked, or until shortly after a run has ended."""
+        until = time.monotonic() + pause
+        while not self.over and (now := time.monotonic()) < until:
+            time.sleep(min(LOOK_S, until - now))
+            with self.world.truth.lock:
+                ends = self.number
+                self._pass()
+                ended = self.number > ends
+            if ended:
+                until = min(until, time.monotonic() + AFTER_END_S)
+
     def _heard(self, life, sent, status, answer, headers):
         """Takes an answer in; seconds until the next beat."""
         if status == 307:
