--- a/asterwharf/sim/yard_fleet.py
+++ b/asterwharf/sim/yard_fleet.py
@@ -21,6 +21,8 @@
 SEEDS = 3
 # of the beats, how many come late though nothing is wrong, and ms by how much
 LATE_BEATS, LATE_MS = 0.003, (500, 3000)
+# of the lives that follow another on a machine, how many are of another kind
+OTHER_KIND = 0.2
 
 
 class Reach:
@@ -46,6 +48,7 @@
         self.w, self.site, self.bounds = World(seed), site, site.bounds
         # drawn apart from how the world rolls, so that a day without late beats is otherwise the same
         self.late_beats, self._lateness = late_beats, random.Random(f'late beats {seed}')
+        self._kinds = random.Random(f'kinds {seed}')
         self.net = Net(self.w)
         self.reach = Reach(self.net)
         self.sight = Sight(self.w, self.bounds)
@@ -192,6 +195,8 @@
         old = self.minions.get(machine)
         if old is not None and old.up:
             return
+        if old is not None and self._kinds.random() < OTHER_KIND:
+            self._change_kind(machine)
         self.n += 1
         adr = (
             old.address
@@ -203,6 +208,12 @@
         )
         m.start()
 
+    def _change_kind(self, machine):
+        """The next life on the machine is of another kind, where its service has another."""
+        shape = self.shapes[machine]
+        kinds = {other.kind for other in self.shapes.values() if other.group == shape.group}
+        self.shapes[machine] = replace(shape, kind=self._kinds.choice(sorted(kinds - {shape.kind}) or [shape.kind]))
+
     # --- what may end and begin
     def kill(self, name, dark=False):
         if dark:
--- a/tests/test_yard_minion.py
+++ b/tests/test_yard_minion.py
@@ -373,3 +373,15 @@
     d.tell(m, again_ms=300)
     sent = d.beat(m)['at']
     assert sent - told > 300 + 500 and d.obs.count['late_beats'] == 1 and not d.f.sight.marks
+
+
+def test_a_machine_may_come_back_as_another_kind():
+    fleet = YardFleet(1, OPEN)
+    machine, shape = next(iter(fleet.shapes.items()))
+    fleet.enlist(machine)
+    kinds = set()
+    for _ in range(60):
+        fleet.minions[machine].up = False
+        fleet.enlist(machine)
+        kinds.add(fleet.minions[machine].doc()['labels'][0])
+    assert kinds == {other.kind for other in fleet.shapes.values()} and fleet.shapes[machine].group == shape.group
